--- a/decide/host.go
+++ b/decide/host.go
@@ -18,7 +18,6 @@
 	ShardNumber     int
 	CellNumber      int
 	ZoneIndex       int
-	KindIndex       int
 )
 
 // Outcome is how a leg or a probe ended.
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -26,12 +26,10 @@
 // listed is one entry of a numbered list.
 type listed struct {
 	id      decide.ReplicaID
-	weight  float64
 	life    decide.Life
 	started int64 // clock time, 0: long ago
 	cell    decide.CellNumber
 	zone    decide.ZoneIndex
-	kind    decide.KindIndex
 }
 
 // instance is one co-ordinator and what it has asked for in this batch.
@@ -255,7 +253,8 @@
 		if name != "ITEM" {
 			return item.fault("an ITEM of the list was due")
 		}
-		e := listed{id: decide.ReplicaID(item.id("replica")), weight: item.number("share")}
+		e := listed{id: decide.ReplicaID(item.id("replica"))}
+		item.number("share")
 		life, ok := lives[item.text("lifecycle")]
 		if !ok && item.err == nil {
 			return item.fault("field lifecycle: unknown value")
@@ -264,7 +263,7 @@
 		e.started = item.wholeOr("cameUp", 0)
 		e.cell = decide.CellNumber(item.wholeOr("cell", 0))
 		e.zone = decide.ZoneIndex(item.wholeOr("zone", -1))
-		e.kind = decide.KindIndex(item.wholeOr("generationHw", 0))
+		item.wholeOr("generationHw", 0)
 		if item.err != nil {
 			return item.err
 		}
