--- a/decide/model_test.go
+++ b/decide/model_test.go
@@ -73,7 +73,8 @@
 	sent           []RequestID
 	turnedBack     int
 	hangups        int
-	shard          int // of the next retrieval's first part
+	lastFirst      RequestID // retrieval of the last first leg in this turn
+	shard          int       // of the next retrieval's first part
 	next           []func()
 }
 
@@ -163,6 +164,7 @@
 	for _, happen := range next {
 		happen()
 	}
+	m.lastFirst = 0
 	m.c.TurnEnds(m.now)
 }
 
@@ -188,6 +190,14 @@
 	if len(p.legs) >= m.maxLegs {
 		m.bad("leg %d of %d", len(p.legs)+1, id)
 	}
+	if len(p.legs) == 0 {
+		if p.of.id < m.lastFirst {
+			m.bad("order: first leg of retrieval %d after one of %d in the same turn", p.of.id, m.lastFirst)
+		}
+		if m.lastFirst = p.of.id; p.of.endAt-m.now < modelWork/4 {
+			m.bad("late: a first leg of %d with %v left", id, p.of.endAt-m.now)
+		}
+	}
 	running, mayHaveRun := 0, time.Duration(-1)
 	for _, l := range p.legs {
 		if !l.done {
