--- /dev/null
+++ b/cmd/terntray/commands.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"terntray/coordinator"
+)
+
+const memoryShare = 0.7 // of the limit on memory that the collector keeps to
+
+func serve(flags *flag.FlagSet, args []string) error {
+	trace := flags.Bool("trace", false, "log a line for each retrieval and leg")
+	parse(flags, args)
+	deployment, err := coordinator.ReadDeployment(os.Getenv)
+	if err != nil {
+		return err
+	}
+	if mb := deployment.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(float64(mb) * memoryShare * (1 << 20)))
+	}
+	if cores := deployment.Limits.Cores; cores > 0 {
+		runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), max(1, int(math.Ceil(cores)))))
+	}
+	c, err := coordinator.New(deployment, log.New(os.Stderr, "", log.Lmicroseconds))
+	if err != nil {
+		return err
+	}
+	c.Trace = *trace
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return c.Serve(ctx)
+}
+
+func check(flags *flag.FlagSet, args []string) error {
+	parse(flags, args)
+	deployment, err := coordinator.ReadDeployment(os.Getenv)
+	if err != nil {
+		return err
+	}
+	if _, err := coordinator.New(deployment, log.New(os.Stderr, "", 0)); err != nil {
+		return err
+	}
+	fmt.Println("ok:", deployment.Name, "on", deployment.Listen)
+	return nil
+}
+
+func version(flags *flag.FlagSet, args []string) error {
+	parse(flags, args)
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return fmt.Errorf("built without its version")
+	}
+	revision := "unknown"
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			revision = s.Value
+		}
+	}
+	fmt.Println("terntray", info.Main.Version, "revision", revision, info.GoVersion)
+	return nil
+}
+
+// parse takes a command's flags; anything else on its line is a mistake.
+func parse(flags *flag.FlagSet, args []string) {
+	flags.Parse(args) // ends the program on a mistake
+	if flags.NArg() > 0 {
+		fmt.Fprintf(flags.Output(), "unexpected: %q\n", flags.Args())
+		flags.Usage()
+		os.Exit(2)
+	}
+}
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,161 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"terntray/decide"
+)
+
+// Coordinator is one co-ordinator. Its fields belong to the goroutine that takes the turns, but for those
+// that say otherwise.
+type Coordinator struct {
+	turns
+	deployment *Deployment
+	log        *log.Logger
+	Trace      bool // a line for each retrieval and leg; to be set before Serve
+
+	module  *decide.Coordinator
+	tracks  map[string]decide.TrackIndex
+	zones   map[string]decide.ZoneIndex
+	shards  int
+	maxOpen int
+	counts  Counts
+
+	retrievals map[decide.RequestID]*retrieval // open ones
+	byQuery    map[string]*retrieval           // the same by the client's id
+	parts      map[decide.RequestID]*part      // of open retrievals, or with legs out
+	held       int                             // open retrievals and their parts
+	lastID     decide.RequestID
+	lastNumber decide.RetrievalNumber
+
+	fleet   fleet
+	list    list
+	front   front
+	ready   atomic.Bool // retrievals can be served; read by all
+	leaving atomic.Bool // told to end; read by all
+	gone    bool        // and no client can come any more
+	drivers sync.WaitGroup
+}
+
+// New makes a co-ordinator; it opens nothing yet.
+func New(d *Deployment, to *log.Logger) (*Coordinator, error) {
+	c := &Coordinator{
+		turns: newTurns(), deployment: d, log: to,
+		tracks:     map[string]decide.TrackIndex{},
+		zones:      map[string]decide.ZoneIndex{},
+		retrievals: map[decide.RequestID]*retrieval{},
+		byQuery:    map[string]*retrieval{},
+		parts:      map[decide.RequestID]*part{},
+	}
+	for n, name := range d.names("lanes") {
+		c.tracks[name] = decide.TrackIndex(n)
+		if fetch := d.nth("familyInfo.classFetch", n); fetch != "" && fetch != "0" {
+			return nil, fmt.Errorf("ROUTER_CONFIG: setting familyInfo.classFetch: the protocol has no second step")
+		}
+	}
+	for n, name := range d.names("zones") {
+		c.zones[name] = decide.ZoneIndex(n)
+	}
+	var err, bad error
+	c.shards, err = d.whole("familyInfo.ranges", 0)
+	if c.shards == 0 {
+		err = errors.New("setting familyInfo.ranges is missing")
+	}
+	bad = errors.Join(bad, err)
+	c.maxOpen, err = d.whole("bounds.maxOpen", math.MaxInt32)
+	bad = errors.Join(bad, err)
+	c.fleet, err = newFleet(d)
+	if bad = errors.Join(bad, err); bad != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", bad)
+	}
+	return c, c.begin()
+}
+
+// begin starts the module from nothing but the list as it was last held.
+func (c *Coordinator) begin() error {
+	module, err := decide.New(c, c.deployment.seed(), c.deployment.settings)
+	if err != nil {
+		return fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	c.module = module
+	return nil
+}
+
+// Serve serves until the context ends, then answers what is open and returns nil.
+func (c *Coordinator) Serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", c.deployment.Listen)
+	if err != nil {
+		return fmt.Errorf("ROUTER_LISTEN: %w", err)
+	}
+	c.list.start(c)
+	c.front.start(c, listener)
+	c.log.Printf("event=serving name=%s listen=%s replicas=%d", c.deployment.Name, listener.Addr(), len(c.fleet.all))
+	context.AfterFunc(ctx, func() { c.post(c.leave) })
+	c.run(c.endTurn, c.broken, c.over)
+	c.list.stop()
+	c.fleet.stop()
+	c.drivers.Wait()
+	c.log.Printf("event=ended %s", c.counts.line(len(c.retrievals)))
+	return nil
+}
+
+func (c *Coordinator) endTurn() {
+	c.module.TurnEnds(c.now)
+	c.fleet.flush()
+}
+
+// broken starts the module anew after a panic in a turn and scraps what was open. Guards against: a fault
+// that one retrieval brings out. Should also cover: any other panic in a turn. Could hurt: the module
+// forgets what it has learned and which further legs it has sent.
+func (c *Coordinator) broken(cause string) {
+	c.counts.Broken++
+	c.log.Printf("event=broken cause=%q", cause)
+	for _, q := range c.inOrder() {
+		for _, p := range q.parts {
+			for n := range p.legs {
+				c.Cancel(p.id, decide.LegNumber(n))
+			}
+		}
+		c.Scrap(q.id)
+	}
+	c.next = nil
+	clear(c.parts)
+	if err := c.begin(); err != nil {
+		c.log.Printf("event=broken cause=%q", err)
+	}
+	c.list.retell()
+}
+
+// leave begins the end: clients are asked to go elsewhere, and those that still come are served.
+func (c *Coordinator) leave() {
+	c.log.Printf("event=leaving %s", c.counts.line(len(c.retrievals)))
+	c.leaving.Store(true)
+	c.front.leave(func() { c.post(func() { c.gone = true }) })
+}
+
+func (c *Coordinator) over() bool { return c.gone && len(c.retrievals) == 0 }
+
+func (c *Coordinator) trace(format string, args ...any) {
+	if c.Trace {
+		c.log.Printf("t=%.4f "+format, append([]any{c.now.Seconds()}, args...)...)
+	}
+}
+
+// Log is the module's word for the log.
+func (c *Coordinator) Log(text string) { c.log.Printf("event=decided words=%q", text) }
+
+// Wake tells the module when a time has passed.
+func (c *Coordinator) Wake(name string, in time.Duration) {
+	c.after(in, name, func() { c.module.Wakes(c.now, name) })
+}
+
+// FollowList asks discovery to tell of changes.
+func (c *Coordinator) FollowList() { c.list.follow() }
--- /dev/null
+++ b/coordinator/deployment.go
@@ -0,0 +1,176 @@
+// Package coordinator is a co-ordinator on sockets: it takes clients' retrievals, sends their parts to
+// replicas and follows the list of replicas. What it does with them is decided in package decide.
+package coordinator
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"terntray/internal/protocol"
+)
+
+// Deployment is what a co-ordinator is told before it starts.
+type Deployment struct {
+	Name      string           `json:"name"`
+	Listen    string           `json:"listen"`
+	Discovery string           `json:"discovery"`
+	Seed      string           `json:"seed"`
+	Limits    Limits           `json:"limits"`
+	Known     protocol.Listing `json:"known"`
+	Nested    json.RawMessage  `json:"settings"`
+
+	settings map[string]string
+}
+
+// Limits are those of the machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// ReadDeployment reads what the environment names.
+func ReadDeployment(env func(string) string) (*Deployment, error) {
+	path := env("ROUTER_CONFIG")
+	if path == "" {
+		return nil, errors.New("ROUTER_CONFIG is not set: the file that describes the deployment")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	d := &Deployment{}
+	if err := json.Unmarshal(text, d); err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %s: %w", path, err)
+	}
+	for name, field := range map[string]*string{
+		"ROUTER_NAME": &d.Name, "ROUTER_LISTEN": &d.Listen, "ROUTER_DISCOVERY": &d.Discovery,
+	} {
+		if v := env(name); v != "" {
+			*field = v
+		}
+	}
+	if d.Listen == "" {
+		return nil, errors.New("ROUTER_LISTEN is not set: the address that clients connect to")
+	}
+	if d.Discovery == "" {
+		return nil, errors.New("ROUTER_DISCOVERY is not set: the address of discovery")
+	}
+	if err := d.Known.Check(); err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %s: known: %w", path, err)
+	}
+	if d.settings, err = Flatten(d.Nested); err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %s: settings: %w", path, err)
+	}
+	return d, nil
+}
+
+// Flatten gives nested settings the form that the simulator gives them: a path for each value; a list of
+// plain values is joined with commas, a list of objects has its length under .count.
+func Flatten(nested []byte) (map[string]string, error) {
+	in := json.NewDecoder(bytes.NewReader(nested))
+	in.UseNumber()
+	var tree map[string]any
+	if err := in.Decode(&tree); err != nil {
+		return nil, err
+	}
+	if _, err := in.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("more than one object")
+	}
+	flat := map[string]string{}
+	flatten(flat, "", tree)
+	return flat, nil
+}
+
+func flatten(flat map[string]string, path string, value any) {
+	below := func(name string) string { return strings.TrimPrefix(path+"."+name, ".") }
+	switch v := value.(type) {
+	case map[string]any:
+		for name, inner := range v {
+			flatten(flat, below(name), inner)
+		}
+	case []any:
+		plain := make([]string, 0, len(v))
+		for n, inner := range v {
+			if _, object := inner.(map[string]any); object {
+				flat[below("count")] = strconv.Itoa(len(v))
+				flatten(flat, below(strconv.Itoa(n)), inner)
+			} else {
+				plain = append(plain, scalar(inner))
+			}
+		}
+		if len(plain) == len(v) {
+			flat[path] = strings.Join(plain, ",")
+		}
+	default:
+		flat[path] = scalar(v)
+	}
+}
+
+var inValues = strings.NewReplacer(" ", "_", ",", "_", "\t", "_", "\n", "_")
+
+func scalar(v any) string {
+	if v == nil {
+		return "-"
+	}
+	return inValues.Replace(fmt.Sprint(v))
+}
+
+// seed is the number that stands for a seed in hexadecimal or any other text.
+func (d *Deployment) seed() uint64 {
+	if n, err := strconv.ParseUint(d.Seed, 16, 64); err == nil {
+		return n
+	}
+	h := fnv.New64a()
+	h.Write([]byte(d.Seed))
+	return h.Sum64()
+}
+
+// names is a list in the settings, either of plain names or of objects with names.
+func (d *Deployment) names(list string) []string {
+	if n, err := strconv.Atoi(d.settings[list+".count"]); err == nil {
+		names := make([]string, n)
+		for i := range names {
+			names[i] = d.settings[fmt.Sprintf("%s.%d.name", list, i)]
+		}
+		return names
+	}
+	if d.settings[list] == "" {
+		return nil
+	}
+	return strings.Split(d.settings[list], ",")
+}
+
+func (d *Deployment) whole(name string, absent int) (int, error) {
+	v := d.settings[name]
+	if v == "" || v == "-" {
+		return absent, nil
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || n < 0 || n > 1e15 {
+		return 0, fmt.Errorf("setting %s is unreadable: %q", name, v)
+	}
+	return int(n), nil
+}
+
+func (d *Deployment) span(name string, absent time.Duration) (time.Duration, error) {
+	n, err := d.whole(name, int(absent.Microseconds()))
+	return time.Duration(n) * time.Microsecond, err
+}
+
+// nth is an entry of a list of plain values, empty where there is none.
+func (d *Deployment) nth(list string, n int) string {
+	values := strings.Split(d.settings[list], ",")
+	if n >= len(values) {
+		return ""
+	}
+	return values[n]
+}
--- /dev/null
+++ b/coordinator/front.go
@@ -0,0 +1,115 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	frontShare = 2                      // of the descriptors one in so many may be a client's connection
+	goingOn    = 700 * time.Millisecond // after the word to end: how long clients may still come
+	sweepUp    = 50 * time.Millisecond  // for what the machine has accepted when that is over
+	acceptWait = 10 * time.Millisecond  // after an accept that failed
+)
+
+// front owns the listener and the clients' connections.
+type front struct {
+	listener net.Listener
+	slots    chan struct{} // one for each connection
+	running  sync.WaitGroup
+
+	mu      sync.Mutex
+	clients map[*client]struct{}
+}
+
+func (f *front) start(c *Coordinator, listener net.Listener) {
+	most := 1 << 16
+	if n := c.deployment.Limits.Sockets; n > 0 {
+		most = max(1, n/frontShare)
+	}
+	f.listener, f.slots, f.clients = listener, make(chan struct{}, most), map[*client]struct{}{}
+	f.running.Go(func() { f.accept(c) })
+}
+
+// accept takes connections until the listener's deadline has passed. Without a free slot it asks the
+// client that has been idle for longest to go, and waits.
+func (f *front) accept(c *Coordinator) {
+	for {
+		select {
+		case f.slots <- struct{}{}:
+		default:
+			f.evict()
+			f.slots <- struct{}{}
+		}
+		conn, err := f.listener.Accept()
+		switch {
+		case err == nil:
+			k := newClient(c, conn)
+			f.mu.Lock()
+			f.clients[k] = struct{}{}
+			f.mu.Unlock()
+			f.running.Go(func() {
+				defer f.release(k)
+				k.serve()
+			})
+			continue
+		case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed):
+			<-f.slots
+			return
+		}
+		<-f.slots
+		c.log.Printf("event=accept_failed cause=%q", err)
+		time.Sleep(acceptWait)
+	}
+}
+
+// release gives a client's connection and slot back.
+func (f *front) release(k *client) {
+	k.conn.Close()
+	f.mu.Lock()
+	delete(f.clients, k)
+	f.mu.Unlock()
+	<-f.slots
+}
+
+func (f *front) evict() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var longest *client
+	for k := range f.clients {
+		if since := k.idleSince.Load(); since > 0 && (longest == nil || since < longest.idleSince.Load()) {
+			longest = k
+		}
+	}
+	if longest != nil {
+		longest.evicted.Store(true)
+		longest.wake()
+	}
+}
+
+// leave ends the front: idle connections at once, the rest with their answers, and the listener once no
+// client comes any more. Then it calls done.
+func (f *front) leave(done func()) {
+	f.mu.Lock()
+	for k := range f.clients {
+		k.wake()
+	}
+	f.mu.Unlock()
+	time.AfterFunc(goingOn, func() {
+		if l, ok := f.listener.(*net.TCPListener); ok {
+			l.SetDeadline(time.Now().Add(sweepUp))
+		}
+		f.running.Wait()
+		f.listener.Close()
+		done()
+	})
+}
+
+// stopWith closes a connection when a context ends; what it returns calls that off.
+func stopWith(ctx context.Context, conn net.Conn) func() bool {
+	return context.AfterFunc(ctx, func() { conn.Close() })
+}
--- /dev/null
+++ b/coordinator/link.go
@@ -0,0 +1,258 @@
+package coordinator
+
+import (
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"terntray/internal/protocol"
+)
+
+const lastWords = time.Second // what a connection that cannot be written to may still bring
+
+// stage is how far the frame of a leg has come.
+type stage int
+
+const (
+	waiting stage = iota // not begun: it can still be taken back
+	begun
+	written // its last byte has been handed to the machine
+)
+
+// frame is one to be written: the call of a leg, or the word that a part is given up.
+type frame struct {
+	leg    *leg
+	giveUp string
+}
+
+// link is one connection to a replica: a goroutine that reads, one that writes. The goroutine that takes
+// the turns owns out, idleSince, up, closed and resting; mu guards the rest and the stages of legs.
+type link struct {
+	c       *Coordinator
+	replica *replica
+	addr    string
+	opened  time.Duration
+
+	out       []*leg // sent or to be sent here, without a reply, in order
+	idleSince time.Duration
+	up        bool
+	closed    bool
+	resting   bool // a timer will look whether it has been idle for too long
+
+	mu    sync.Mutex
+	more  *sync.Cond
+	queue []frame
+	conn  net.Conn
+	ended bool
+}
+
+func newLink(c *Coordinator, r *replica) *link {
+	k := &link{c: c, replica: r, addr: r.addr, opened: c.now}
+	k.more = sync.NewCond(&k.mu)
+	return k
+}
+
+func (k *link) uid() string {
+	if k == nil {
+		return "-"
+	}
+	return k.replica.uid
+}
+
+func (k *link) find(wire string) *leg {
+	for _, l := range k.out {
+		if l.part.wire == wire {
+			return l
+		}
+	}
+	return nil
+}
+
+// forget lets go of a leg that nothing more is awaited of.
+func (k *link) forget(l *leg) {
+	at := slices.Index(k.out, l)
+	if at < 0 {
+		return
+	}
+	if k.out = slices.Delete(k.out, at, at+1); len(k.out) == 0 {
+		k.idleSince = k.c.now
+		if k.rest(); k.replica.left {
+			k.close()
+		}
+	}
+}
+
+// rest closes the connection once it has been idle for as long as the settings allow.
+func (k *link) rest() {
+	limit := k.c.fleet.idleLimit
+	if k.resting || k.closed || len(k.out) > 0 || limit > 24*time.Hour {
+		return
+	}
+	k.resting = true
+	k.c.after(k.idleSince+limit-k.c.now, "", func() {
+		if k.resting = false; len(k.out) == 0 && k.c.now-k.idleSince >= limit {
+			k.close()
+		}
+		k.rest()
+	})
+}
+
+func (k *link) queueUp(f frame) {
+	k.mu.Lock()
+	k.queue = append(k.queue, f)
+	k.mu.Unlock()
+	k.c.fleet.dirty = append(k.c.fleet.dirty, k)
+}
+
+// withdraw takes back a leg whose frame has not been begun.
+func (k *link) withdraw(l *leg) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if l.stage != waiting {
+		return false
+	}
+	k.queue = slices.DeleteFunc(k.queue, func(f frame) bool { return f.leg == l })
+	return true
+}
+
+// giveUp has the replica told that a leg is given up, if its frame has been begun.
+func (k *link) giveUp(l *leg) {
+	if k.withdraw(l) {
+		k.forget(l)
+	} else if !k.closed {
+		k.queueUp(frame{giveUp: l.part.wire})
+	}
+}
+
+// close ends the connection; its goroutines give it back.
+func (k *link) close() {
+	k.closed = true
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ended = true
+	k.more.Signal()
+	if k.conn != nil {
+		k.conn.Close()
+	}
+}
+
+// run opens the connection, reads it to its end and gives it back.
+func (k *link) run() {
+	cause := k.carry()
+	at := k.c.since(time.Now())
+	k.c.post(func() { k.c.linkEnded(k, cause, at) })
+}
+
+func (k *link) carry() error {
+	f := &k.c.fleet
+	dialer := net.Dialer{Timeout: f.connectWithin}
+	conn, err := dialer.DialContext(f.context, "tcp", k.addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	k.mu.Lock()
+	k.conn = conn
+	ended := k.ended
+	k.mu.Unlock()
+	if ended {
+		return net.ErrClosed
+	}
+	defer stopWith(f.context, conn)()
+	k.c.post(func() { k.c.linkUp(k) })
+	writer := make(chan struct{})
+	go func() {
+		defer close(writer)
+		k.write(conn)
+	}()
+	cause := k.read(conn)
+	conn.Close()
+	k.mu.Lock()
+	k.ended = true
+	k.more.Signal()
+	k.mu.Unlock()
+	<-writer
+	return cause
+}
+
+func (k *link) read(conn net.Conn) error {
+	var replies protocol.Replies
+	for {
+		n, err := conn.Read(replies.Room())
+		at := k.c.since(time.Now())
+		replies.Filled(n)
+		for {
+			r, bad := replies.Next()
+			if bad != nil {
+				return bad
+			}
+			if r == nil {
+				break
+			}
+			k.c.post(func() { k.c.replied(k, r, at) })
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// write writes what is queued, all that waits in one go. How many bytes went tells which frames did.
+func (k *link) write(conn net.Conn) {
+	type end struct {
+		leg *leg
+		at  int
+	}
+	var bytes []byte
+	var ends []end
+	for {
+		k.mu.Lock()
+		for len(k.queue) == 0 && !k.ended {
+			k.more.Wait()
+		}
+		if k.ended {
+			k.mu.Unlock()
+			return
+		}
+		bytes, ends = bytes[:0], ends[:0]
+		for len(k.queue) > 0 {
+			if first := k.queue[0]; first.leg == nil {
+				bytes = protocol.AppendGiveUp(bytes, first.giveUp)
+				k.queue = k.queue[1:]
+				continue
+			}
+			var call []protocol.CallPart
+			for _, f := range k.queue[:min(len(k.queue), k.c.fleet.batch)] {
+				if f.leg == nil || f.leg.part.of != k.queue[0].leg.part.of {
+					break
+				}
+				f.leg.stage = begun
+				p := f.leg.part
+				call = append(call, protocol.CallPart{ID: p.wire, Shard: p.shard, WaitMS: f.leg.waitMS, Text: p.of.query.Text})
+			}
+			bytes = protocol.AppendCall(bytes, call...)
+			for _, f := range k.queue[:len(call)] {
+				ends = append(ends, end{f.leg, len(bytes)})
+			}
+			k.queue = k.queue[len(call):]
+		}
+		k.queue = nil
+		k.mu.Unlock()
+		n, err := conn.Write(bytes)
+		k.mu.Lock()
+		for _, e := range ends {
+			if e.at <= n {
+				e.leg.stage = written
+			}
+		}
+		k.mu.Unlock()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				conn.SetReadDeadline(time.Now().Add(lastWords))
+			}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/coordinator/list.go
@@ -0,0 +1,211 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"terntray/decide"
+	"terntray/internal/protocol"
+)
+
+const (
+	hold      = 20 * time.Second       // a watch may wait so long
+	answersIn = 2 * time.Second        // how much later than that its answer counts as lost
+	askAgain  = 200 * time.Millisecond // pause after a failure where changes come unasked
+)
+
+// list follows discovery's list of replicas.
+type list struct {
+	c        *Coordinator
+	asked    bool // changes come only to those who ask, and the module decides when
+	held     protocol.Listing
+	stopCall context.CancelFunc
+}
+
+// start tells the module the list as it was last held and, where changes come unasked, begins to follow it.
+func (l *list) start(c *Coordinator) {
+	l.c, l.held = c, c.deployment.Known
+	l.asked = c.deployment.settings["discovery"] == "subscribe"
+	l.stopCall = func() {}
+	l.retell()
+	if !l.asked {
+		l.follow()
+	}
+}
+
+func (l *list) stop() { l.stopCall() }
+
+// retell tells the module the list as it is held.
+func (l *list) retell() {
+	whole := l.held
+	whole.All = true
+	l.tell(&whole, true)
+}
+
+// follow begins a watch, instead of any that stands.
+func (l *list) follow() {
+	l.stopCall()
+	ctx, stop := context.WithCancel(context.Background())
+	l.stopCall = stop
+	l.c.drivers.Go(func() { l.watch(ctx) })
+}
+
+// watch asks for the whole list, then for what changes, until it fails or is stopped.
+func (l *list) watch(ctx context.Context) {
+	post := func(do func()) {
+		l.c.post(func() {
+			if ctx.Err() == nil {
+				do()
+			}
+		})
+	}
+	for ctx.Err() == nil {
+		err := l.calls(ctx, func(told *protocol.Listing) {
+			post(func() {
+				l.c.counts.Lists++
+				l.tell(told, false)
+			})
+		})
+		post(func() {
+			l.c.counts.ListFailures++
+			l.c.log.Printf("event=list_failed cause=%q", err)
+			l.c.module.ListFailed(l.c.now)
+		})
+		if l.asked {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(askAgain):
+		}
+	}
+}
+
+// calls makes one call after the other on one connection; it returns what ended it.
+func (l *list) calls(ctx context.Context, tell func(*protocol.Listing)) error {
+	host := l.c.deployment.Discovery
+	var conn net.Conn
+	var answers protocol.Listings
+	defer func() {
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	request, wait, rev := protocol.WholeList(host), time.Duration(0), int64(0)
+	for {
+		if conn == nil {
+			var err error
+			dialer := net.Dialer{Timeout: answersIn}
+			if conn, err = dialer.DialContext(ctx, "tcp", host); err != nil {
+				return err
+			}
+			answers = protocol.Listings{}
+			defer stopWith(ctx, conn)()
+		}
+		conn.SetDeadline(time.Now().Add(wait + answersIn))
+		if _, err := conn.Write(request); err != nil {
+			return err
+		}
+		told, last, err := nextListing(conn, &answers)
+		if err != nil {
+			return err
+		}
+		if last {
+			conn.Close()
+			conn = nil
+		}
+		if !told.All && told.Rev < rev {
+			return fmt.Errorf("revision %d after %d", told.Rev, rev)
+		}
+		rev = told.Rev
+		tell(told)
+		request, wait = protocol.Watch(host, rev, hold.Milliseconds()), hold
+	}
+}
+
+func nextListing(conn net.Conn, answers *protocol.Listings) (*protocol.Listing, bool, error) {
+	for {
+		told, last, err := answers.Next()
+		if told != nil || err != nil {
+			return told, last, err
+		}
+		n, err := conn.Read(answers.Room())
+		answers.Filled(n)
+		if err != nil && n == 0 {
+			return nil, false, err
+		}
+	}
+}
+
+// tell tells the module what discovery said and keeps the list that follows from it.
+func (l *list) tell(told *protocol.Listing, old bool) {
+	c := l.c
+	held := map[string]bool{}
+	if told.All {
+		l.held.Targets = told.Targets
+		for _, t := range told.Targets {
+			held[t.UID] = true
+		}
+		for _, r := range c.fleet.all {
+			if !held[r.uid] {
+				c.leaves(r)
+			}
+		}
+	} else {
+		l.change(told.Targets)
+	}
+	l.held.Rev = told.Rev
+	c.module.ListBegins(c.now, told.All, old)
+	for _, t := range told.Targets {
+		l.tellOf(t)
+	}
+	if len(l.held.Targets) > 0 {
+		c.ready.Store(true)
+	}
+	if !old && len(told.Targets) > 0 {
+		c.log.Printf("event=list rev=%d all=%t targets=%d", told.Rev, told.All, len(told.Targets))
+	}
+}
+
+func (l *list) tellOf(t protocol.Target) {
+	c := l.c
+	r := c.fleet.named(t.UID)
+	if t.State == protocol.Gone {
+		c.leaves(r)
+	} else {
+		r.left, r.addr = false, t.Endpoint
+	}
+	started, cell, zone := decide.LongAgo, decide.CellNumber(0), decide.ZoneIndex(-1)
+	if t.BootMS > 0 {
+		started = c.since(time.UnixMilli(t.BootMS))
+	}
+	if t.Cell != nil {
+		cell = decide.CellNumber(*t.Cell)
+	}
+	if at, ok := c.zones[t.Zone]; ok {
+		zone = at
+	}
+	c.module.ReplicaListed(c.now, r.id, lives[t.State], started, cell, zone)
+}
+
+// change applies changes to the list that is held.
+func (l *list) change(targets []protocol.Target) {
+	byUID := map[string]protocol.Target{}
+	for _, t := range targets {
+		byUID[t.UID] = t
+	}
+	var kept []protocol.Target
+	for _, t := range l.held.Targets {
+		if _, changed := byUID[t.UID]; !changed {
+			kept = append(kept, t)
+		}
+	}
+	for _, t := range targets {
+		if t.State != protocol.Gone {
+			kept = append(kept, t)
+		}
+	}
+	l.held.Targets = kept
+}
--- /dev/null
+++ b/coordinator/replicas.go
@@ -0,0 +1,180 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+
+	"terntray/decide"
+	"terntray/internal/protocol"
+)
+
+const fleetShare = 4 // of the descriptors one in so many may be a connection to a replica
+
+// replica is one as discovery lists it, with the connections to it.
+type replica struct {
+	id    decide.ReplicaID
+	uid   string
+	addr  string
+	left  bool
+	links []*link
+}
+
+// fleet owns the connections to replicas. Its fields belong to the goroutine that takes the turns.
+type fleet struct {
+	all                      map[decide.ReplicaID]*replica
+	connectWithin, idleLimit time.Duration
+	multiplex, batch         int
+	mostLinks, links         int
+	dirty                    []*link // with frames queued in this turn
+	context                  context.Context
+	stop                     context.CancelFunc
+}
+
+func newFleet(d *Deployment) (fleet, error) {
+	f := fleet{all: map[decide.ReplicaID]*replica{}, mostLinks: math.MaxInt}
+	f.context, f.stop = context.WithCancel(context.Background())
+	if d.Limits.Sockets > 0 {
+		f.mostLinks = max(1, d.Limits.Sockets/fleetShare)
+	}
+	var errs [4]error
+	var idle time.Duration
+	f.connectWithin, errs[0] = d.span("bounds.connectTimeout", time.Second)
+	idle, errs[1] = d.span("bounds.idleClose", 0)
+	f.multiplex, errs[2] = d.whole("bounds.multiplex", math.MaxInt32)
+	f.batch, errs[3] = d.whole("familyInfo.batch", 1)
+	f.multiplex, f.batch = max(1, f.multiplex), max(1, f.batch)
+	// What the far side may be about to close is not written to; a connection's set-up bounds the way there.
+	if f.idleLimit = max(idle/2, idle-f.connectWithin); idle == 0 {
+		f.idleLimit = math.MaxInt64
+	}
+	return f, errors.Join(errs[:]...)
+}
+
+// named gives the replica of a uid. Its id is drawn from the uid alone, so that all co-ordinators use the
+// same; should two uids draw one id, the later takes the next.
+func (f *fleet) named(uid string) *replica {
+	h := fnv.New32a()
+	h.Write([]byte(uid))
+	id := decide.ReplicaID(h.Sum32())
+	for f.all[id] != nil && f.all[id].uid != uid {
+		id++
+	}
+	if f.all[id] == nil {
+		f.all[id] = &replica{id: id, uid: uid}
+	}
+	return f.all[id]
+}
+
+// leaves closes what is idle of a replica that is gone; the rest ends with its legs.
+func (c *Coordinator) leaves(r *replica) {
+	r.left = true
+	for _, k := range r.links {
+		if len(k.out) == 0 {
+			k.close()
+		}
+	}
+}
+
+// send queues a leg on a connection to its replica; it fails where there is none and none can be had.
+func (f *fleet) send(c *Coordinator, l *leg, to decide.ReplicaID) bool {
+	r := f.all[to]
+	if r == nil || r.addr == "" {
+		return false
+	}
+	k := f.choose(c, r, l.part.wire)
+	if k == nil {
+		return false
+	}
+	l.link = k
+	k.out = append(k.out, l)
+	k.queueUp(frame{leg: l})
+	return true
+}
+
+// choose picks the connection for a part: one that is up, has room and does not carry the part already,
+// or one that is coming up, or a new one.
+func (f *fleet) choose(c *Coordinator, r *replica, wire string) *link {
+	var best *link
+	for _, k := range r.links {
+		idle := len(k.out) == 0 && k.up && c.now-k.idleSince >= f.idleLimit
+		if k.addr != r.addr || k.closed || idle || len(k.out) >= f.multiplex || k.find(wire) != nil {
+			continue
+		}
+		if best == nil || k.up && !best.up {
+			best = k
+		}
+	}
+	if best == nil && (f.links < f.mostLinks || f.closeIdle()) {
+		best = newLink(c, r)
+		r.links = append(r.links, best)
+		f.links++
+		c.drivers.Go(best.run)
+	}
+	return best
+}
+
+// closeIdle makes room for a connection by closing the one that has been idle for longest.
+func (f *fleet) closeIdle() bool {
+	var longest *link
+	for _, r := range f.all {
+		for _, k := range r.links {
+			if k.up && !k.closed && len(k.out) == 0 && (longest == nil || k.opened < longest.opened) {
+				longest = k
+			}
+		}
+	}
+	if longest != nil {
+		longest.close()
+	}
+	return longest != nil
+}
+
+// flush lets the writers begin with what was queued in this turn.
+func (f *fleet) flush() {
+	for _, k := range f.dirty {
+		k.more.Signal()
+	}
+	f.dirty = f.dirty[:0]
+}
+
+// linkUp notes that a connection has come up.
+func (c *Coordinator) linkUp(k *link) {
+	c.counts.Opened++
+	k.up, k.idleSince = true, c.now
+	k.rest()
+}
+
+// linkEnded takes a connection back; both of its goroutines have ended. Legs whose last byte was written
+// may have run, the others never did.
+func (c *Coordinator) linkEnded(k *link, cause error, at time.Duration) {
+	c.fleet.links--
+	k.replica.links = slices.DeleteFunc(k.replica.links, func(o *link) bool { return o == k })
+	switch {
+	case !k.up:
+		c.counts.Refused++
+		c.log.Printf("event=unreachable replica=%s addr=%s cause=%q", k.replica.uid, k.addr, cause)
+	case len(k.out) > 0 || !k.closed:
+		c.counts.Dropped++
+		c.log.Printf("event=dropped replica=%s addr=%s out=%d cause=%q", k.replica.uid, k.addr, len(k.out), cause)
+	}
+	out := k.out
+	k.out, k.closed = nil, true
+	for _, l := range out {
+		if l.over {
+			continue
+		}
+		how := decide.Unreachable
+		if l.stage == written {
+			how = decide.Reset
+		}
+		c.ends(l, how, at-l.sentAt)
+	}
+}
+
+var lives = map[string]decide.Life{
+	protocol.Ready: decide.Active, protocol.Draining: decide.Leaving, protocol.Gone: decide.Left,
+}
--- /dev/null
+++ b/coordinator/retrievals.go
@@ -0,0 +1,278 @@
+package coordinator
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"terntray/decide"
+	"terntray/internal/protocol"
+)
+
+// retrieval is an open one; the client that asked for it gets its one answer.
+type retrieval struct {
+	id     decide.RequestID
+	client *client
+	query  *protocol.Query
+	cutOff time.Duration
+	parts  []*part
+	closed bool
+	came   time.Duration
+}
+
+type part struct {
+	id    decide.RequestID
+	of    *retrieval
+	shard int
+	wire  string // its id on the wire
+	legs  []*leg
+	in    bool
+	value []byte
+}
+
+// leg is one attempt at a part. Its stage belongs to the link that carries it.
+type leg struct {
+	part   *part
+	number decide.LegNumber
+	link   *link // nil where there was none for it
+	sentAt time.Duration
+	waitMS int64
+	over   bool // the module has been told, or is about to be
+	stage  stage
+}
+
+// arrives takes a query in. It was whole at that time.
+func (c *Coordinator) arrives(from *client, query *protocol.Query, at time.Duration) {
+	size := 1 + len(query.Parts)
+	switch {
+	case c.byQuery[query.ID] != nil:
+		c.counts.Bad++
+		from.answer(refusal(http.StatusConflict, "a retrieval with this Req-Id is open", from.last()))
+	case c.unknownShard(query) >= 0:
+		c.counts.Bad++
+		from.answer(refusal(http.StatusBadRequest,
+			fmt.Sprintf("there is no segment %d", c.unknownShard(query)), from.last()))
+	case c.held+size > c.maxOpen && c.held > 0:
+		c.counts.Taken++
+		c.counts.TurnedBack++
+		c.counts.Full++
+		from.answer(protocol.TurnBackWith(0, "too much is open", from.last()))
+	default:
+		c.counts.Taken++
+		c.take(from, query, at)
+	}
+}
+
+func (c *Coordinator) unknownShard(query *protocol.Query) int {
+	for _, p := range query.Parts {
+		if p.Shard >= c.shards {
+			return p.Shard
+		}
+	}
+	return -1
+}
+
+func (c *Coordinator) take(from *client, query *protocol.Query, at time.Duration) {
+	q := &retrieval{id: c.newID(), client: from, query: query, came: at, cutOff: at + query.Deadline}
+	track := c.tracks[query.Track]
+	c.lastNumber++
+	number := c.lastNumber
+	hint := time.Duration(0)
+	for _, p := range query.Parts {
+		hint += p.Hint
+	}
+	c.retrievals[q.id], c.byQuery[query.ID] = q, q
+	from.open = q
+	c.held += 1 + len(query.Parts)
+	left := max(0, q.cutOff-c.now)
+	c.trace("retrieval=%s track=%s left=%v parts=%d", query.ID, query.Track, left, len(query.Parts))
+	c.module.RetrievalArrives(c.now, q.id, number, track, 0, left, hint, len(query.Parts))
+	for _, asked := range query.Parts {
+		p := &part{id: c.newID(), of: q, shard: asked.Shard, wire: protocol.PartID(query.ID, asked.Shard)}
+		q.parts, c.parts[p.id] = append(q.parts, p), p
+		c.module.PartArrives(c.now, p.id, number, decide.ShardNumber(p.shard), asked.Weight, asked.Hint)
+	}
+}
+
+// newID gives an id that nothing open has.
+func (c *Coordinator) newID() decide.RequestID {
+	for {
+		c.lastID++
+		if c.retrievals[c.lastID] == nil && c.parts[c.lastID] == nil {
+			return c.lastID
+		}
+	}
+}
+
+func (c *Coordinator) inOrder() []*retrieval {
+	return slices.SortedFunc(maps.Values(c.retrievals), func(a, b *retrieval) int { return cmp.Compare(a.id, b.id) })
+}
+
+// clientLeaves ends what a client that is gone has open.
+func (c *Coordinator) clientLeaves(from *client) {
+	if q := from.open; q != nil {
+		c.counts.Left++
+		c.trace("retrieval=%s left after=%v", q.query.ID, c.now-q.came)
+		c.module.ClientLeaves(c.now, q.id)
+		c.close(q)
+	}
+}
+
+// close ends a retrieval: nothing of it is sent from now on.
+func (c *Coordinator) close(q *retrieval) {
+	q.closed, q.client.open = true, nil
+	delete(c.retrievals, q.id)
+	delete(c.byQuery, q.query.ID)
+	c.held -= 1 + len(q.parts)
+	for _, p := range q.parts {
+		for _, l := range p.legs {
+			if !l.over && l.link.withdraw(l) {
+				c.tell(l, decide.Cancelled)
+			}
+			if l.over && l.link != nil {
+				l.link.forget(l)
+			}
+		}
+		c.clear(p)
+	}
+}
+
+// clear lets go of a part that nothing can be told of any more.
+func (c *Coordinator) clear(p *part) {
+	if p.of.closed && !slices.ContainsFunc(p.legs, func(l *leg) bool { return !l.over }) {
+		delete(c.parts, p.id)
+	}
+}
+
+// reply gives a retrieval its one answer.
+func (c *Coordinator) reply(id decide.RequestID, count *int, make func(q *retrieval, last bool) []byte) {
+	q := c.retrievals[id]
+	if q == nil {
+		return
+	}
+	*count++
+	c.close(q)
+	q.client.answer(make(q, q.client.last()))
+}
+
+// Answer answers with the parts that are in.
+func (c *Coordinator) Answer(id decide.RequestID, whole bool) {
+	c.reply(id, &c.counts.Fulfilled, func(q *retrieval, last bool) []byte {
+		if !whole {
+			c.counts.Partial++
+		}
+		var matches []protocol.Match
+		for _, p := range q.parts {
+			if p.in {
+				matches = append(matches, protocol.Match{Segment: p.shard, Payload: string(p.value)})
+			}
+		}
+		c.trace("retrieval=%s fulfilled whole=%t parts=%d after=%v", q.query.ID, whole, len(matches), c.now-q.came)
+		return protocol.AnswerWith(whole, matches, last)
+	})
+}
+
+// TurnBack answers that trying again is harmless.
+func (c *Coordinator) TurnBack(id decide.RequestID, comeBack time.Duration) {
+	c.reply(id, &c.counts.TurnedBack, func(q *retrieval, last bool) []byte {
+		c.trace("retrieval=%s turned_back after=%v", q.query.ID, c.now-q.came)
+		return protocol.TurnBackWith(comeBack, "turned back", last)
+	})
+}
+
+// Scrap answers that the retrieval failed.
+func (c *Coordinator) Scrap(id decide.RequestID) {
+	c.reply(id, &c.counts.Scrapped, func(q *retrieval, last bool) []byte {
+		c.trace("retrieval=%s scrapped after=%v", q.query.ID, c.now-q.came)
+		return refusal(http.StatusInternalServerError, "scrapped", last)
+	})
+}
+
+func refusal(status int, words string, last bool) []byte {
+	return protocol.Respond(status, "text/plain", []byte(words+"\n"), 0, last)
+}
+
+// Send sends a leg of a part.
+func (c *Coordinator) Send(id decide.RequestID, to decide.ReplicaID, timeout time.Duration) {
+	p := c.parts[id]
+	if p == nil {
+		c.log.Printf("event=unknown_part id=%d", id)
+		return
+	}
+	wait := p.of.cutOff - c.now
+	if timeout > 0 {
+		wait = min(wait, timeout)
+	}
+	l := &leg{part: p, number: decide.LegNumber(len(p.legs)), sentAt: c.now, waitMS: max(1, wait.Milliseconds())}
+	p.legs = append(p.legs, l)
+	c.counts.Legs++
+	switch {
+	case p.of.closed || wait <= 0:
+		c.tell(l, decide.Moot)
+	case !c.fleet.send(c, l, to):
+		c.tell(l, decide.Unreachable)
+	default:
+		c.after(wait, "", func() { c.giveUp(l, decide.TimedOut) })
+	}
+}
+
+// Cancel gives a leg up.
+func (c *Coordinator) Cancel(id decide.RequestID, n decide.LegNumber) {
+	if p := c.parts[id]; p != nil && int(n) < len(p.legs) {
+		c.giveUp(p.legs[n], decide.Cancelled)
+	}
+}
+
+// giveUp stops waiting for a leg.
+func (c *Coordinator) giveUp(l *leg, how decide.Outcome) {
+	if l.over {
+		return
+	}
+	l.link.giveUp(l)
+	c.tell(l, how)
+}
+
+// tell has the module told at the start of the next turn how a leg ended.
+func (c *Coordinator) tell(l *leg, how decide.Outcome) {
+	l.over = true
+	took := c.now - l.sentAt
+	c.next = append(c.next, func() { c.ends(l, how, took) })
+}
+
+func (c *Coordinator) ends(l *leg, how decide.Outcome, took time.Duration) {
+	l.over = true
+	c.counts.Outcomes[how]++
+	c.trace("leg=%s.%d replica=%s outcome=%s took=%v", l.part.wire, l.number, l.link.uid(), outcomeNames[how], took)
+	c.module.LegEnds(c.now, l.part.id, l.number, how, took)
+	if l.part.of.closed && l.link != nil {
+		l.link.forget(l)
+	}
+	c.clear(l.part)
+}
+
+// replied takes what a replica says of a part; at is when it was read.
+func (c *Coordinator) replied(from *link, r *protocol.Reply, at time.Duration) {
+	l := from.find(r.ID)
+	if l == nil || l.over {
+		c.counts.Late++
+		if l != nil {
+			from.forget(l)
+		}
+		return
+	}
+	from.forget(l)
+	how := decide.Erred
+	switch r.End {
+	case protocol.OK:
+		how = decide.Fulfilled
+		if p := l.part; !p.in && !p.of.closed {
+			p.in, p.value = true, r.Value
+		}
+	case protocol.Rejected:
+		how = decide.TurnedAway
+	}
+	c.ends(l, how, at-l.sentAt)
+}
--- /dev/null
+++ b/coordinator/turns.go
@@ -0,0 +1,109 @@
+package coordinator
+
+import (
+	"fmt"
+	"runtime/debug"
+	"slices"
+	"time"
+)
+
+const inboxRoom = 256 // happenings that may wait for the next turn; who brings more waits itself
+
+// turns runs what happens, one thing after the other, on the one goroutine that owns the module.
+type turns struct {
+	born   time.Time
+	now    time.Duration // of the present turn
+	inbox  chan func()
+	next   []func() // what the module is told at the start of the next turn
+	timers []timer  // by time due
+	ended  chan struct{}
+}
+
+type timer struct {
+	due  time.Duration
+	name string // of a look that the module asked for; two alike are one
+	do   func()
+}
+
+func newTurns() turns {
+	return turns{born: time.Now(), inbox: make(chan func(), inboxRoom), ended: make(chan struct{})}
+}
+
+// post hands over what has happened, from any goroutine. It waits while the inbox is full, and tells
+// whether anybody will still look at it.
+func (t *turns) post(do func()) bool {
+	select {
+	case t.inbox <- do:
+		return true
+	case <-t.ended:
+		return false
+	}
+}
+
+func (t *turns) since(at time.Time) time.Duration { return at.Sub(t.born) }
+
+func (t *turns) after(in time.Duration, name string, do func()) {
+	due := t.now + max(0, in)
+	at, _ := slices.BinarySearchFunc(t.timers, due, func(o timer, due time.Duration) int {
+		if o.due <= due {
+			return -1
+		}
+		return 1
+	})
+	if name != "" && at > 0 && t.timers[at-1].due == due && t.timers[at-1].name == name {
+		return
+	}
+	t.timers = slices.Insert(t.timers, at, timer{due, name, do})
+}
+
+// run takes turns until over says that nothing is left to do. In each, all that waits is told, in the
+// order in which it came, then the timers that are due, and then ends is called; broken takes what panicked.
+func (t *turns) run(ends func(), broken func(cause string), over func() bool) {
+	clock := time.NewTimer(0)
+	defer clock.Stop()
+	defer close(t.ended)
+	for !over() {
+		wait := time.Hour
+		if len(t.timers) > 0 {
+			wait = t.timers[0].due - time.Since(t.born)
+		}
+		if len(t.next) > 0 {
+			wait = 0
+		}
+		clock.Reset(max(0, wait))
+		first := func() {}
+		select {
+		case first = <-t.inbox:
+		case <-clock.C:
+		}
+		if cause := t.turn(first, ends); cause != "" {
+			broken(cause)
+		}
+	}
+}
+
+// turn is one turn; it returns the cause if it panicked.
+func (t *turns) turn(first, ends func()) (cause string) {
+	defer func() {
+		if r := recover(); r != nil {
+			cause = fmt.Sprintf("%v: %s", r, debug.Stack())
+		}
+	}()
+	t.now = time.Since(t.born)
+	told := t.next
+	t.next = nil
+	for _, do := range told {
+		do()
+	}
+	first()
+	for waits := len(t.inbox); waits > 0; waits-- {
+		(<-t.inbox)()
+	}
+	for len(t.timers) > 0 && t.timers[0].due <= t.now {
+		due := t.timers[0]
+		t.timers = slices.Delete(t.timers, 0, 1)
+		due.do()
+	}
+	ends()
+	return ""
+}
--- /dev/null
+++ b/internal/protocol/buffer.go
@@ -0,0 +1,50 @@
+// Package protocol holds the state machines of the wire between clients, replicas, discovery and a
+// co-ordinator. They are fed bytes and know neither sockets nor clocks.
+package protocol
+
+const (
+	leastRoom = 2 << 10  // bytes to read into at the least
+	keptRoom  = 16 << 10 // bytes that an empty buffer may keep; a larger one is let go
+)
+
+// Buffer is a connection's one buffer: it grows as it needs and is compacted in place.
+type Buffer struct {
+	data []byte
+	from int // what stands before is used up
+}
+
+// Room gives free bytes to read into; Filled tells how many were.
+func (b *Buffer) Room() []byte {
+	if b.from > 0 {
+		n := copy(b.data, b.data[b.from:])
+		b.data, b.from = b.data[:n], 0
+	}
+	if len(b.data) == 0 && cap(b.data) > keptRoom {
+		b.data = nil
+	}
+	if cap(b.data)-len(b.data) < leastRoom {
+		grown := make([]byte, len(b.data), max(2*cap(b.data), len(b.data)+leastRoom))
+		copy(grown, b.data)
+		b.data = grown
+	}
+	return b.data[len(b.data):cap(b.data)]
+}
+
+// Filled takes in the first n bytes of what Room gave last.
+func (b *Buffer) Filled(n int) { b.data = b.data[:len(b.data)+n] }
+
+// Feed takes in a copy of some bytes.
+func (b *Buffer) Feed(p []byte) {
+	for len(p) > 0 {
+		n := copy(b.Room(), p)
+		b.Filled(n)
+		p = p[n:]
+	}
+}
+
+// Waiting is how many bytes are in and not used up.
+func (b *Buffer) Waiting() int { return len(b.data) - b.from }
+
+func (b *Buffer) bytes() []byte { return b.data[b.from:] }
+
+func (b *Buffer) use(n int) { b.from += n }
--- /dev/null
+++ b/internal/protocol/discovery.go
@@ -0,0 +1,89 @@
+package protocol
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+)
+
+// Listing is what discovery tells: all replicas, or those that changed.
+type Listing struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+// Target is a replica as discovery lists it.
+type Target struct {
+	UID      string `json:"uid"`
+	Endpoint string `json:"endpoint"`
+	Zone     string `json:"az"`
+	Cell     *int   `json:"pod_group"`
+	State    string `json:"state"`
+	BootMS   int64  `json:"boot_ms"`
+}
+
+// The states of a target.
+const (
+	Ready    = "ready"
+	Draining = "draining"
+	Gone     = "gone"
+)
+
+// Check tells what makes a listing unusable.
+func (l *Listing) Check() error {
+	for n, t := range l.Targets {
+		known := slices.Contains([]string{Ready, Draining, Gone}, t.State)
+		if t.UID == "" || !known || t.State != Gone && (t.Endpoint == "" || t.Cell == nil || *t.Cell < 0) {
+			return fmt.Errorf("targets[%d] (uid %q, state %q) cannot be used", n, t.UID, t.State)
+		}
+	}
+	return nil
+}
+
+// WholeList and Watch make the calls of discovery.
+func WholeList(host string) []byte {
+	return fmt.Appendf(nil, "GET /discovery/hosts HTTP/1.1\r\nHost: %s\r\n\r\n", host)
+}
+
+// Watch asks for what is newer than a revision; the answer may take so many milliseconds.
+func Watch(host string, from, holdMS int64) []byte {
+	return fmt.Appendf(nil, "GET /discovery/hosts?from=%d&hold_ms=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
+		from, holdMS, host)
+}
+
+// Listings cuts discovery's answers out of the bytes of a connection.
+type Listings struct{ messages }
+
+// Next gives the next listing; nil without an error means that more bytes must come in first. Last tells
+// that the connection ends with it.
+func (m *Listings) Next() (l *Listing, last bool, err error) {
+	if due, err := m.due(); err != nil || !due {
+		return nil, false, err
+	}
+	in := bytes.NewReader(m.bytes())
+	ahead := bufio.NewReader(in)
+	head, err := http.ReadResponse(ahead, nil)
+	if err != nil {
+		return nil, false, fmt.Errorf("no HTTP response: %w", err)
+	}
+	if head.ContentLength < 0 && !slices.Contains(head.TransferEncoding, "chunked") {
+		return nil, false, fmt.Errorf("a response without a length")
+	}
+	body, err := m.body(head.Body, head.ContentLength, head.TransferEncoding)
+	if err != nil || body == nil {
+		return nil, false, err
+	}
+	m.done(in, ahead)
+	if head.StatusCode != http.StatusOK {
+		return nil, false, fmt.Errorf("status %d", head.StatusCode)
+	}
+	l = &Listing{}
+	if err := json.Unmarshal(body, l); err != nil {
+		return nil, false, fmt.Errorf("no list: %w", err)
+	}
+	return l, head.Close, l.Check()
+}
--- /dev/null
+++ b/internal/protocol/frames.go
@@ -0,0 +1,101 @@
+package protocol
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"strconv"
+)
+
+const mostFrame = 1 << 20 // bytes; a longer reply is none of ours
+
+// End is how a replica says that a part ended.
+type End string
+
+// The ends of a part.
+const (
+	OK       End = "OK"
+	Error    End = "ERROR"
+	Rejected End = "REJECTED"
+)
+
+// PartID is a part's id on the wire.
+func PartID(query string, shard int) string { return query + "." + strconv.Itoa(shard) }
+
+// CallPart is one part of a call.
+type CallPart struct {
+	ID     string
+	Shard  int
+	WaitMS int64 // how long the co-ordinator will wait
+	Text   []byte
+}
+
+// AppendCall appends the frame of one call.
+func AppendCall(b []byte, parts ...CallPart) []byte {
+	b, at := begin(b, 'R')
+	for _, p := range parts {
+		b = fmt.Appendf(b, "%s %d d=%d %d\n", p.ID, p.Shard, p.WaitMS, len(p.Text))
+		b = append(b, p.Text...)
+	}
+	return finish(b, at)
+}
+
+// AppendGiveUp appends the frame that gives a part up.
+func AppendGiveUp(b []byte, id string) []byte {
+	b, at := begin(b, 'A')
+	return finish(append(b, id...), at)
+}
+
+func begin(b []byte, letter byte) ([]byte, int) { return append(b, 0, 0, 0, 0, letter), len(b) }
+
+func finish(b []byte, at int) []byte {
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
+	return b
+}
+
+// Reply is what a replica says of one part.
+type Reply struct {
+	ID    string
+	End   End
+	Value []byte
+}
+
+// Replies cuts a replica's frames out of the bytes of a connection.
+type Replies struct{ Buffer }
+
+// Next gives the next reply; nil without an error means that more bytes must come in first. After an error
+// the connection is of no more use.
+func (m *Replies) Next() (*Reply, error) {
+	b := m.bytes()
+	if len(b) < 4 {
+		return nil, nil
+	}
+	length := binary.BigEndian.Uint32(b)
+	if length == 0 || length > mostFrame {
+		return nil, fmt.Errorf("a frame of %d bytes", length)
+	}
+	if uint32(len(b)-4) < length {
+		return nil, nil
+	}
+	letter, rest := b[4], b[5:4+length]
+	m.use(4 + int(length))
+	switch letter {
+	case 'Y':
+		line, value, ok := bytes.Cut(rest, []byte("\n"))
+		words := bytes.Split(line, []byte(" "))
+		if !ok || len(words) != 4 || len(words[0]) == 0 {
+			return nil, fmt.Errorf("a reply's line %q", cut(line))
+		}
+		end := End(words[1])
+		if end != OK && end != Error && end != Rejected {
+			return nil, fmt.Errorf("a reply's end %q", cut(words[1]))
+		}
+		return &Reply{string(words[0]), end, bytes.Clone(value)}, nil
+	case 'N':
+		return nil, fmt.Errorf("the replica could not use a frame: %q", cut(rest))
+	}
+	return nil, fmt.Errorf("a frame of letter %q", letter)
+}
+
+// cut shortens what goes into a log.
+func cut(b []byte) []byte { return b[:min(len(b), 120)] }
