Learn idle limits, keep slots free, sift the list, never wait for the log

One odd entry made a whole list useless, and with it the drains that it tells. A log that nobody reads would have held up the turns. A crowd of idle clients held up accepts for 0.7 s each.

--- a/cmd/terntray/commands.go
+++ b/cmd/terntray/commands.go
@@ -30,7 +30,10 @@
 	if cores := deployment.Limits.Cores; cores > 0 {
 		runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), max(1, int(math.Ceil(cores)))))
 	}
-	c, err := coordinator.New(deployment, log.New(os.Stderr, "", log.Lmicroseconds))
+	signal.Ignore(syscall.SIGPIPE, syscall.SIGHUP) // a log that nobody reads is no reason to end
+	lines := newLogs(os.Stderr)
+	defer lines.end()
+	c, err := coordinator.New(deployment, log.New(lines, "", log.Lmicroseconds))
 	if err != nil {
 		return err
 	}
--- a/cmd/terntray/main_test.go
+++ b/cmd/terntray/main_test.go
@@ -296,12 +296,49 @@
 	r := newRoster(t, "127.0.0.1:0", a)
 	p := start(t, configure(t, r.l.Addr().String(), 16, settings, a))
 	for n := range 20 {
+		p.connect().send("POST /look HTTP/1.1\r\n"[:n])
 		c := p.connect()
 		c.send(query("look", fmt.Sprint("q", n), 10, 3))
 		c.expect(map[int]string{3: value(a, 3)})
 	}
 }
 
+// A log that nobody reads holds up nothing.
+func TestLogThatIsNotReadHoldsUpNothing(t *testing.T) {
+	stuck := make(chan struct{})
+	l := newLogs(writer(func(b []byte) { <-stuck }))
+	for range 2 * linesWaiting {
+		l.Write([]byte("line\n"))
+	}
+	if l.dropped.Load() == 0 {
+		t.Error("no line was dropped")
+	}
+	close(stuck)
+	l.end()
+}
+
+type writer func([]byte)
+
+func (w writer) Write(b []byte) (int, error) { w(b); return len(b), nil }
+
+// What was written to a process that has since started anew is not waited for.
+func TestReplicaThatRestartedUnseenIsReachedByNewConnections(t *testing.T) {
+	a := newStandin(t, "s-a", 0, silent)
+	p, r := deployed(t, strings.Replace(settings, `"connectTimeout":1000000`, `"connectTimeout":20000`, 1), a)
+	c := p.connect()
+	c.send(query("look", "q1", 20, 3))
+	until(t, "the part arrives", func() bool { return a.saw("q1") })
+	a.does(fulfil)
+	r.mu.Lock()
+	a.bootMS = time.Now().Add(time.Second).UnixMilli()
+	r.mu.Unlock()
+	r.change(a, "ready")
+	c.expect(map[int]string{3: value(a, 3)})
+	if n := p.counters(); n["legs_reset"] != 1 || n["opened"] != 2 {
+		t.Errorf("counters %v", n)
+	}
+}
+
 func (p *program) ends(t *testing.T) {
 	t.Helper()
 	select {
@@ -331,6 +368,13 @@
 	d := p.connect()
 	d.send(query("look", "q2", 30, 4))
 	until(t, "its part arrives", func() bool { return a.saw("q2") })
+	until(t, "no further connection is taken", func() bool {
+		conn, err := net.Dial("tcp", p.addr)
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
 	for _, part := range a.seen() {
 		fulfil(a, part)
 	}
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -134,7 +134,7 @@
 	}
 	k.warned = true
 	wait := lastLook
-	if k.asked == 0 || k.requests.Waiting() > 0 {
+	if (k.asked == 0 || k.requests.Waiting() > 0) && !k.evicted.Load() {
 		wait = goingOn
 	}
 	k.conn.SetReadDeadline(time.Now().Add(wait))
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -9,11 +9,14 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"terntray/decide"
 )
 
+const bindWait = 2 * time.Second // for an address that is taken
+
 // Coordinator is one co-ordinator. Its fields belong to the goroutine that takes the turns, but for those
 // that say otherwise.
 type Coordinator struct {
@@ -91,7 +94,7 @@
 
 // Serve serves until the context ends, then answers what is open and returns nil.
 func (c *Coordinator) Serve(ctx context.Context) error {
-	listener, err := net.Listen("tcp", c.deployment.Listen)
+	listener, err := listen(c.deployment.Listen)
 	if err != nil {
 		return fmt.Errorf("ROUTER_LISTEN: %w", err)
 	}
@@ -107,6 +110,16 @@
 	return nil
 }
 
+// listen opens the listener. One that has ended a moment ago may still have the address.
+func listen(addr string) (l net.Listener, err error) {
+	for end := time.Now().Add(bindWait); ; time.Sleep(bindWait / 20) {
+		l, err = net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return l, err
+		}
+	}
+}
+
 func (c *Coordinator) endTurn() {
 	c.module.TurnEnds(c.now)
 	c.fleet.flush()
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -204,6 +204,39 @@
 	}
 }
 
+// Connections that break at the first write after a rest are not left to rest as long again.
+func TestRestsGetShorterWhereConnectionsBreakAfterThem(t *testing.T) {
+	c := made(t)
+	c.fleet.idleLimit = 15 * time.Second
+	p := &part{of: &retrieval{query: &protocol.Query{}}, wire: "q.1"}
+	breaks := func(rested, took time.Duration, heard bool) time.Duration {
+		k := newLink(c, c.fleet.named("s-a"))
+		k.up, k.rested = true, rested
+		l := &leg{part: p, link: k, stage: written, sentAt: time.Second}
+		if k.out = []*leg{l}; heard {
+			k.heardAt = 2 * time.Second
+		}
+		c.now = l.sentAt + took
+		c.linkEnded(k, net.ErrClosed, c.now)
+		return c.fleet.idleLimit
+	}
+	for _, step := range []struct {
+		rested, took time.Duration
+		heard        bool
+		want         time.Duration
+	}{
+		{8 * time.Second, time.Second, false, 15 * time.Second},     // a crash in the midst of work
+		{8 * time.Second, time.Millisecond, true, 15 * time.Second}, // it had answered since
+		{0, time.Millisecond, false, 15 * time.Second},              // no rest before
+		{8 * time.Second, time.Millisecond, false, 4 * time.Second}, // dropped while it rested
+		{time.Second, time.Millisecond, false, time.Second},         // never under four connects
+	} {
+		if got := breaks(step.rested, step.took, step.heard); got != step.want {
+			t.Errorf("%+v: %v", step, got)
+		}
+	}
+}
+
 // A module that breaks costs what is open, and no more.
 func TestBrokenModuleStartsAnew(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/coordinator/front.go
+++ b/coordinator/front.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	frontShare = 4                      // of the memory one part in so many may be clients' buffers
+	frontShare = 2                      // of the memory one part in so many may be clients' buffers
+	freeShare  = 10                     // of the slots one in so many is kept free, where clients are idle
 	goingOn    = 700 * time.Millisecond // after the word to end: how long clients may still come
 	sweepUp    = 50 * time.Millisecond  // for what the machine has accepted when that is over
 	acceptWait = 10 * time.Millisecond  // after an accept that failed
@@ -38,16 +39,17 @@
 	f.running.Go(func() { f.accept(c) })
 }
 
-// accept takes connections until the listener's deadline has passed. Without a free slot it asks the
-// client that has been idle for longest to go, and waits.
+// accept takes connections until the listener's deadline has passed, then closes it at once: what the machine
+// takes for it later would wait in vain. With few slots left it asks the client that has been idle for
+// longest to go. Guards against: crowds of clients that keep connections and send nothing, or half a request.
+// Should also cover: descriptors that run out. Could hurt: clients that come back to a closed connection.
 func (f *front) accept(c *Coordinator) {
+	defer f.listener.Close()
 	for {
-		select {
-		case f.slots <- struct{}{}:
-		default:
+		if len(f.slots) >= cap(f.slots)-cap(f.slots)/freeShare-1 {
 			f.evict()
-			f.slots <- struct{}{}
 		}
+		f.slots <- struct{}{}
 		conn, err := f.listener.Accept()
 		switch {
 		case err == nil:
@@ -84,7 +86,7 @@
 	defer f.mu.Unlock()
 	var longest *client
 	for k := range f.clients {
-		if since := k.idleSince.Load(); since > 0 && (longest == nil || since < longest.idleSince.Load()) {
+		if since := k.idleSince.Load(); since > 0 && !k.evicted.Load() && (longest == nil || since < longest.idleSince.Load()) {
 			longest = k
 		}
 	}
@@ -107,7 +109,6 @@
 			l.SetDeadline(time.Now().Add(sweepUp))
 		}
 		f.running.Wait()
-		f.listener.Close()
 		done()
 	})
 }
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -30,7 +30,7 @@
 }
 
 // link is one connection to a replica: a goroutine that reads, one that writes. The goroutine that takes
-// the turns owns out, idleSince, up, closed, resting, heardAt and doubted; mu guards the rest and the stages of legs.
+// the turns owns out, idleSince, up, closed and the like; mu guards the rest and the stages of legs.
 type link struct {
 	c       *Coordinator
 	replica *replica
@@ -38,7 +38,9 @@
 
 	out       []*leg // sent or to be sent here, without a reply, in order
 	idleSince time.Duration
+	rested    time.Duration // before the first of what is out
 	up        bool
+	upAt      time.Duration
 	closed    bool
 	resting   bool          // a timer will look whether it has been idle for too long
 	heardAt   time.Duration // the last reply
--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -68,7 +68,9 @@
 		})
 	}
 	for ctx.Err() == nil {
+		any := false
 		err := l.calls(ctx, func(told *protocol.Listing) {
+			any = true
 			post(func() {
 				l.c.counts.Lists++
 				l.tell(told, false)
@@ -82,6 +84,9 @@
 		if l.asked {
 			return
 		}
+		if any {
+			continue // what has answered so far is asked again at once
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(askAgain):
@@ -148,6 +153,9 @@
 // tell tells the module what discovery said and keeps the list that follows from it.
 func (l *list) tell(told *protocol.Listing, old bool) {
 	c := l.c
+	if odd := told.Sift(); len(odd) > 0 {
+		c.log.Printf("event=odd_targets rev=%d targets=%q", told.Rev, odd)
+	}
 	held := map[string]bool{}
 	if told.All {
 		l.held.Targets = told.Targets
@@ -189,6 +197,7 @@
 	started, cell, zone := decide.LongAgo, decide.CellNumber(0), decide.ZoneIndex(-1)
 	if t.BootMS > 0 {
 		started = c.since(time.UnixMilli(t.BootMS))
+		c.restarted(r, started)
 	}
 	if t.Cell != nil {
 		cell = decide.CellNumber(*t.Cell)
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -50,8 +50,8 @@
 	f.multiplex, errs[2] = d.whole("bounds.multiplex", math.MaxInt32)
 	f.batch, errs[3] = d.whole("familyInfo.batch", 1)
 	f.multiplex, f.batch = max(1, f.multiplex), max(1, f.batch)
-	// What the far side may be about to close is not written to; a connection's set-up bounds the way there.
-	if f.idleLimit = max(idle/2, idle-f.connectWithin); idle == 0 {
+	// The far side closes idle ones after that time at the latest, so half of it; see staleAfter.
+	if f.idleLimit = idle / 2; idle == 0 {
 		f.idleLimit = math.MaxInt64
 	}
 	return f, errors.Join(errs[:]...)
@@ -82,6 +82,17 @@
 	}
 }
 
+// restarted closes connections that are older than their replica's process. Guards against: a machine that
+// vanished and came back, whose old connections stay silent until they are written to, and then reset what is.
+// Should also cover: replicas replaced at the same address. Could hurt: if discovery's starts were wrong.
+func (c *Coordinator) restarted(r *replica, at time.Duration) {
+	for _, k := range r.links {
+		if k.up && !k.closed && k.upAt < at-c.fleet.connectWithin {
+			k.close()
+		}
+	}
+}
+
 // send queues a leg on a connection to its replica; it fails where there is none and none can be had.
 func (f *fleet) send(c *Coordinator, l *leg, to decide.ReplicaID) bool {
 	r := f.all[to]
@@ -92,7 +103,9 @@
 	if k == nil {
 		return false
 	}
-	l.link = k
+	if l.link = k; len(k.out) == 0 && k.up {
+		k.rested = c.now - k.idleSince
+	}
 	k.out = append(k.out, l)
 	k.queueUp(frame{leg: l})
 	return true
@@ -147,7 +160,7 @@
 // linkUp notes that a connection has come up.
 func (c *Coordinator) linkUp(k *link) {
 	c.counts.Opened++
-	k.up, k.idleSince = true, c.now
+	k.up, k.upAt, k.idleSince = true, c.now, c.now
 	k.rest()
 }
 
@@ -164,6 +177,9 @@
 		c.counts.Dropped++
 		c.log.Printf("event=dropped replica=%s addr=%s out=%d cause=%q", k.replica.uid, k.addr, len(k.out), cause)
 	}
+	if len(k.out) > 0 && !k.closed {
+		c.fleet.staleAfter(k)
+	}
 	out := k.out
 	k.out, k.closed = nil, true
 	for _, l := range out {
@@ -178,6 +194,18 @@
 	}
 }
 
+// staleAfter learns from a connection that broke before anything was heard for what was written to it after a
+// rest: from now on none rests for as long. Guards against: far sides, or what lies between, that drop idle
+// connections sooner than stated, and single-use parts lost by it. Should also cover: a far side that restarts
+// unseen. Could hurt: by connections opened anew after a crash that looked like it; never under four times
+// what a new one may take.
+func (f *fleet) staleAfter(k *link) {
+	first := k.out[0]
+	if quiet := k.heardAt < first.sentAt && k.c.now-first.sentAt < f.connectWithin; quiet && k.rested > 0 {
+		f.idleLimit = min(f.idleLimit, max(k.rested/2, 4*f.connectWithin))
+	}
+}
+
 var lives = map[string]decide.Life{
 	protocol.Ready: decide.Active, protocol.Draining: decide.Leaving, protocol.Gone: decide.Left,
 }
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"terntray/decide"
 	"terntray/internal/protocol"
@@ -270,6 +271,9 @@
 	how := decide.Erred
 	switch r.End {
 	case protocol.OK:
+		if !utf8.Valid(r.Value) { // no answer can hold it as it is
+			break
+		}
 		how = decide.Fulfilled
 		if p := l.part; !p.in && !p.of.closed {
 			p.in, p.value = true, r.Value
--- a/internal/protocol/frames.go
+++ b/internal/protocol/frames.go
@@ -82,7 +82,7 @@
 	switch letter {
 	case 'Y':
 		line, value, ok := bytes.Cut(rest, []byte("\n"))
-		words := bytes.Split(line, []byte(" "))
+		words := bytes.SplitN(line, []byte(" "), 4)
 		if !ok || len(words) != 4 || len(words[0]) == 0 {
 			return nil, fmt.Errorf("a reply's line %q", cut(line))
 		}
