After one death let a retrieval go on where it has been instead of ending it

Seen: a connection that drops under a living replica ended every replayable retrieval with fewer than two answers (LegEnds, case Reset). The part now goes again to the replica that dropped it: if that died it cannot be reached, and the retrieval ends then; if it lives, it answers. Two legs that drop at one replica in one turn are one death.

--- a/cmd/terntray/main_test.go
+++ b/cmd/terntray/main_test.go
@@ -491,3 +491,23 @@
 		return err != nil
 	})
 }
+
+// A connection that drops under a replica that lives costs its parts some time, not their retrieval.
+func TestDroppedConnectionOfALivingReplicaEndsNoReplayableRetrieval(t *testing.T) {
+	var drops atomic.Int32
+	a := newStandin(t, "s-a", 0, func(s *standin, c call) {
+		if drops.Add(1) == 1 {
+			time.Sleep(20 * time.Millisecond) // sooner it would pass for an idle connection
+			reset(s, c)
+			return
+		}
+		fulfil(s, c)
+	})
+	p, _ := deployed(t, settings, a)
+	c := p.connect()
+	c.send(query("look", "q1", 10, 3))
+	c.expect(map[int]string{3: value(a, 3)})
+	if n := p.counters(); n["legs_reset"] != 1 || n["legs_ok"] != 1 {
+		t.Errorf("counters %v", n)
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -143,7 +143,9 @@
 	in, ratio, sent         float64       // parts in; their times over the expected, summed; legs sent
 	firstWhole, overShare   bool
 	admitted, ended, judged bool
-	deaths                  float64 // legs under which a replica seemed to die while no part was in
+	deaths                  float64       // times that a replica seemed to die under it
+	diedAt                  time.Duration // the last of them
+	suspect                 replica       // where
 }
 
 const nowhere replica = -1
@@ -396,7 +398,9 @@
 	c.outWork[r] -= l.work
 	switch how {
 	case Fulfilled:
-		c.answered(r, p, l, took)
+		if c.answered(r, p, l, took); r == p.of.suspect && l.sentAt > p.of.diedAt {
+			p.of.deaths = 0 // it lives: the connection alone was lost
+		}
 		if !p.in && !p.gone && !p.of.ended {
 			p.in, p.of.got, p.of.in = true, p.of.got+p.weight, p.of.in+1
 			p.of.ratio += float64(took) / float64(scale(l.base, c.pace[r])+1)
@@ -406,13 +410,8 @@
 		c.errs[r], c.errAt[r] = c.errs[r]+1, c.now
 		c.setAside(r, "cannot be reached")
 	case Reset:
-		// Guards against: a retrieval that kills what works on it. Should also cover: single parts of that
-		// kind. Could hurt: those caught early in a crash. Quicker drops are of idle connections.
-		if took >= staleTook {
-			p.of.deaths++
-		}
-		if p.of.in < answersDeath*p.of.deaths && !p.of.ended {
-			c.giveUp(p.of)
+		if took >= staleTook && (p.of.diedAt != c.now || p.of.suspect != r) { // quicker: it idled
+			p.of.deaths, p.of.diedAt, p.of.suspect = p.of.deaths+1, c.now, r
 		}
 		fallthrough
 	case Erred, TimedOut, TurnedAway:
@@ -593,6 +592,11 @@
 	return true
 }
 
+// doubtful tells whether a retrieval may kill what works on it: at a second death it ends; after one it goes
+// on only where it has been, which cannot be reached if it died. Guards against: deadly retrievals. Should
+// also cover: single parts of that kind, connections that drop. Could hurt: those caught early in a crash.
+func (q *retrieval) doubtful() bool { return q.deaths > 0 && q.in < answersDeath*q.deaths }
+
 func (q *retrieval) waiting() bool { return q.ended || q.due > len(q.parts) }
 
 // bounds are the weights that a whole answer and any answer need at the present step.
@@ -618,7 +622,7 @@
 	switch {
 	case q.got >= need:
 		c.answer(q, q.step == 0 || q.firstWhole)
-	case c.now >= q.endAt-endMargin:
+	case c.now >= q.endAt-endMargin || q.doubtful() && (q.deaths > 1 || !c.sendable(q.suspect, 0)):
 		c.giveUp(q)
 	case c.now >= q.agreed-endMargin && c.now < q.agreed && q.got >= floor &&
 		q.track.earns*q.got/need > q.track.late:
@@ -744,16 +748,13 @@
 			continue
 		}
 		c.hold(p, c.choose(p, func(r replica) time.Duration {
-			if p.tried(r, false) {
+			if p.tried(r, false) != q.doubtful() {
 				return q.track.cutOff // only where no other holder is left
 			}
 			return scale(p.work, c.pace[r])
 		}))
 		mine = append(mine, p)
 	}
-	if len(mine) == 0 {
-		return
-	}
 	c.spread(mine)
 	if !q.admitted {
 		q.admitted = true
@@ -796,7 +797,7 @@
 			}
 			for _, r := range c.holders(p.shard) {
 				d := max(c.finish(worst, -p.work), c.finish(r, p.work))
-				if r != worst && d < least && c.sendable(r, p.work) && !p.tried(r, false) {
+				if r != worst && d < least && c.sendable(r, p.work) && !p.tried(r, false) && !p.of.doubtful() {
 					moved, to, least = p, r, d
 				}
 			}
@@ -856,7 +857,7 @@
 			continue
 		}
 		for _, p := range q.parts {
-			if q.ended || !p.held || c.scouting(q) {
+			if q.ended || !p.held || c.scouting(q) || q.doubtful() && len(p.legs) == 0 {
 				continue
 			}
 			r := p.at
@@ -938,7 +939,7 @@
 func (c *Coordinator) trial(p *part) bool {
 	copied := len(p.legs) > 0
 	mayCopy := p.of.track.effect == replayable && c.mayCopy && !c.lastLeg(p)
-	if copied && !c.mayGoOn() || p.running() && !mayCopy {
+	if copied && !c.mayGoOn() || p.running() && !mayCopy || p.of.doubtful() {
 		return false
 	}
 	for _, r := range c.holders(p.shard) {
@@ -958,7 +959,7 @@
 
 // further sends a second copy of a part whose leg takes much longer than expected, where there is credit.
 func (c *Coordinator) further(q *retrieval) {
-	if q.ended || !c.mayCopy {
+	if q.ended || !c.mayCopy || q.doubtful() {
 		return
 	}
 	for _, p := range q.parts {
