--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -35,7 +35,7 @@
 	retrievals map[decide.RequestID]*retrieval // open ones
 	byQuery    map[string]*retrieval           // the same by the client's id
 	parts      map[decide.RequestID]*part      // of open retrievals, or with legs out
-	held       int                             // open retrievals and their parts
+	held       int                             // open retrievals, and parts of theirs that are not in
 	lastID     decide.RequestID
 	lastNumber decide.RetrievalNumber
 
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -47,7 +47,6 @@
 
 // arrives takes a query in. It was whole at that time.
 func (c *Coordinator) arrives(from *client, query *protocol.Query, at time.Duration) {
-	size := 1 + len(query.Parts)
 	switch {
 	case c.byQuery[query.ID] != nil:
 		c.counts.Bad++
@@ -56,7 +55,7 @@
 		c.counts.Bad++
 		from.answer(refusal(http.StatusBadRequest,
 			fmt.Sprintf("there is no segment %d", c.unknownShard(query)), from.last()))
-	case c.held+size > c.maxOpen && c.held > 0:
+	case c.held >= c.maxOpen:
 		c.counts.Taken++
 		c.counts.TurnedBack++
 		c.counts.Full++
@@ -128,8 +127,11 @@
 	q.closed, q.client.open = true, nil
 	delete(c.retrievals, q.id)
 	delete(c.byQuery, q.query.ID)
-	c.held -= 1 + len(q.parts)
+	c.held--
 	for _, p := range q.parts {
+		if !p.in {
+			c.held--
+		}
 		for _, l := range p.legs {
 			if !l.over && l.link.withdraw(l) {
 				c.tell(l, decide.Cancelled)
@@ -277,6 +279,7 @@
 		how = decide.Fulfilled
 		if p := l.part; !p.in && !p.of.closed {
 			p.in, p.value = true, r.Value
+			c.held--
 		}
 	case protocol.Rejected:
 		how = decide.TurnedAway
