Take unsent legs back at a drain and bound how long a write may be blocked

Unsent legs are taken back when the list says drain or gone (turned away: never ran); a write that the machine does not take within the connect time ends its connection. Tests beside the code.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -135,7 +135,8 @@
 			k.more.Signal()
 			k.mu.Unlock()
 		})
-		k.write(&cutOff{room: room})
+		far, _ := net.Pipe()
+		k.write(&cutOff{far, room})
 		c.counts.Outcomes = [8]int{}
 		c.linkEnded(k, net.ErrClosed, 0)
 		if got := c.counts.Outcomes; got[decide.Reset] != want || got[decide.Unreachable] != 3-want {
@@ -161,6 +162,25 @@
 	}
 }
 
+// A leg that waits for its connection when the replica is told to drain must not go out after the grace.
+func TestLegsNotBegunAreTakenBackAtADrain(t *testing.T) {
+	c := made(t)
+	r := c.fleet.named("s-a")
+	k := newLink(c, r)
+	r.links = []*link{k}
+	q := &retrieval{query: &protocol.Query{}, cutOff: time.Hour}
+	a := &leg{part: &part{of: q, wire: "q.1"}, link: k}
+	b := &leg{part: &part{of: q, wire: "q.2"}, link: k, stage: written}
+	k.out = []*leg{a, b}
+	k.queueUp(frame{leg: a})
+	c.list.c = c
+	cell := 0
+	c.list.tell(&protocol.Listing{Targets: []protocol.Target{{UID: "s-a", Endpoint: "x:1", Cell: &cell, State: protocol.Draining}}}, false)
+	if c.turn(func() {}, func() {}); len(k.queue) > 0 || c.counts.Outcomes[decide.TurnedAway] != 1 || b.over {
+		t.Errorf("queue %v, outcomes %v", k.queue, c.counts.Outcomes)
+	}
+}
+
 // Parts with the same id on the wire never share a connection, or an answer could end the wrong leg.
 func TestTwoLegsOfOnePartAtOneReplicaAreKeptApart(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"runtime/debug"
@@ -220,7 +219,10 @@
 	}
 }
 
-// write writes what is queued, all that waits in one go. How many bytes went tells which frames did.
+// write writes what is queued, all that waits in one go. How many bytes went tells which frames did. What the
+// machine does not take in the time that a new connection may need ends this one. Guards against: parts that go
+// out long after their retrieval's answer or a drain, from behind a replica that reads nothing. Should also
+// cover: links that take nothing. Could hurt: large texts on a slow link, where the machine's buffers are small.
 func (k *link) write(conn net.Conn) {
 	type end struct {
 		leg *leg
@@ -261,6 +263,7 @@
 		}
 		k.queue = nil
 		k.mu.Unlock()
+		conn.SetWriteDeadline(time.Now().Add(k.c.fleet.connectWithin))
 		n, err := conn.Write(bytes)
 		k.mu.Lock()
 		for _, e := range ends {
@@ -270,9 +273,8 @@
 		}
 		k.mu.Unlock()
 		if err != nil {
-			if !errors.Is(err, net.ErrClosed) {
-				conn.SetReadDeadline(time.Now().Add(lastWords))
-			}
+			k.c.post(func() { k.doubted = true })
+			conn.SetReadDeadline(time.Now().Add(lastWords))
 			return
 		}
 	}
--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -194,6 +194,9 @@
 	} else {
 		r.left, r.addr = false, t.Endpoint
 	}
+	if t.State == protocol.Draining {
+		c.takeBack(r)
+	}
 	started, cell, zone := decide.LongAgo, decide.CellNumber(0), decide.ZoneIndex(-1)
 	if t.BootMS > 0 {
 		started = c.since(time.UnixMilli(t.BootMS))
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -75,6 +75,7 @@
 // leaves closes what is idle of a replica that is gone; the rest ends with its legs.
 func (c *Coordinator) leaves(r *replica) {
 	r.left = true
+	c.takeBack(r)
 	for _, k := range r.links {
 		if len(k.out) == 0 {
 			k.close()
@@ -82,6 +83,18 @@
 	}
 }
 
+// takeBack takes back what has not been begun for a replica that wants nothing new; it never ran.
+func (c *Coordinator) takeBack(r *replica) {
+	for _, k := range r.links {
+		for _, l := range slices.Clone(k.out) {
+			if !l.over && k.withdraw(l) {
+				k.forget(l)
+				c.tell(l, decide.TurnedAway)
+			}
+		}
+	}
+}
+
 // restarted closes connections that are older than their replica's process. Guards against: a machine that
 // vanished and came back, whose old connections stay silent until they are written to, and then reset what is.
 // Should also cover: replicas replaced at the same address. Could hurt: if discovery's starts were wrong.
