Pace the watch of the list and guard the restart of a broken module

Seen: an agent that ends each connection after its answer would have been asked again without a pause (list.go watch); a panic while the module starts anew would have ended the process (turns.go run).

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -2,11 +2,9 @@
 
 import (
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -66,13 +64,10 @@
 // serveSafely serves the connection; should that break, it ends this connection alone, and what it has open
 // is told as left.
 func (k *client) serveSafely() {
-	defer func() {
-		if r := recover(); r != nil {
-			k.c.log.Printf("event=client_broken cause=%q", fmt.Sprintf("%v: %s", r, debug.Stack()))
-			k.c.post(func() { k.c.clientLeaves(k) })
-		}
-	}()
-	k.serve()
+	if cause := guard(k.serve); cause != "" {
+		k.c.log.Printf("event=client_broken cause=%q", cause)
+		k.c.post(func() { k.c.clientLeaves(k) })
+	}
 }
 
 // serve serves the connection until it ends; the caller closes it.
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -1,9 +1,8 @@
 package coordinator
 
 import (
-	"fmt"
+	"errors"
 	"net"
-	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -182,7 +181,10 @@
 		defer close(writer)
 		k.write(conn)
 	}()
-	cause := k.read(conn)
+	var cause error
+	if panicked := guard(func() { cause = k.read(conn) }); panicked != "" {
+		cause = errors.New(panicked)
+	}
 	conn.Close()
 	k.mu.Lock()
 	k.ended = true
@@ -192,12 +194,7 @@
 	return cause
 }
 
-func (k *link) read(conn net.Conn) (cause error) {
-	defer func() {
-		if r := recover(); r != nil {
-			cause = fmt.Errorf("reading broke: %v: %s", r, debug.Stack())
-		}
-	}()
+func (k *link) read(conn net.Conn) error {
 	var replies protocol.Replies
 	for {
 		n, err := conn.Read(replies.Room())
--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -13,12 +13,13 @@
 const (
 	hold      = 5 * time.Second        // a watch may wait so long, where the settings do not imply it
 	answersIn = 2 * time.Second        // how much later than that its answer counts as lost
-	askAgain  = 200 * time.Millisecond // pause after a failure where changes come unasked
+	askAgain  = 200 * time.Millisecond // between beginnings of a watch where changes come unasked
 )
 
 // list follows discovery's list of replicas.
 type list struct {
 	c        *Coordinator
+	failing  bool // the last call did
 	asked    bool // changes come only to those who ask, and the module decides when
 	hold     time.Duration
 	held     protocol.Listing
@@ -68,28 +69,28 @@
 		})
 	}
 	for ctx.Err() == nil {
-		any := false
+		began := time.Now()
 		err := l.calls(ctx, func(told *protocol.Listing) {
-			any = true
 			post(func() {
 				l.c.counts.Lists++
+				l.failing = false
 				l.tell(told, false)
 			})
 		})
 		post(func() {
 			l.c.counts.ListFailures++
-			l.c.log.Printf("event=list_failed cause=%q", err)
-			l.c.module.ListFailed(l.c.now)
+			if l.asked || !l.failing { // else told once
+				l.c.log.Printf("event=list_failed cause=%q", err)
+				l.c.module.ListFailed(l.c.now)
+			}
+			l.failing = true
 		})
 		if l.asked {
 			return
 		}
-		if any {
-			continue // what has answered so far is asked again at once
-		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(askAgain):
+		case <-time.After(time.Until(began.Add(askAgain))): // at once, if it went well for so long
 		}
 	}
 }
--- a/coordinator/turns.go
+++ b/coordinator/turns.go
@@ -85,8 +85,8 @@
 		case <-clock.C:
 		}
 		t.noteStandstill(max(due, before))
-		if cause := t.turn(first, ends); cause != "" {
-			broken(cause)
+		if cause := guard(func() { t.turn(first, ends) }); cause != "" {
+			guard(func() { broken(cause) })
 		}
 	}
 }
@@ -110,13 +110,19 @@
 	return read
 }
 
-// turn is one turn; it returns the cause if it panicked.
-func (t *turns) turn(first, ends func()) (cause string) {
+// guard calls a function and returns the cause if that panicked.
+func guard(call func()) (cause string) {
 	defer func() {
 		if r := recover(); r != nil {
 			cause = fmt.Sprintf("%v: %s", r, debug.Stack())
 		}
 	}()
+	call()
+	return ""
+}
+
+// turn is one turn.
+func (t *turns) turn(first, ends func()) {
 	t.now = time.Since(t.born)
 	told := t.next
 	t.next = nil
@@ -133,5 +139,4 @@
 		due.do()
 	}
 	ends()
-	return ""
 }
