--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -72,6 +72,7 @@
 		add(in*time.Millisecond, fmt.Sprint(int(in)))
 	}
 	add(time.Hour, "never")
+	c.callOff(c.after(time.Millisecond, "", func() { got = append(got, "called off") }))
 	time.Sleep(4 * time.Millisecond)
 	if c.turn(func() {}, func() {}); fmt.Sprint(got) != "[1 2 3]" || len(c.timers) != 1 {
 		t.Errorf("%v went, %d wait", got, len(c.timers))
@@ -257,6 +258,33 @@
 	}
 }
 
+// A client that asks to wait for a day and leaves must not be remembered for as long.
+func TestNothingOfARetrievalStaysOnceItsLegsHaveEnded(t *testing.T) {
+	cell := 0
+	c := made(t, protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell})
+	defer c.fleet.stop()
+	c.list.c, c.list.held = c, c.deployment.Known
+	c.list.retell()
+	near, far := net.Pipe()
+	defer far.Close()
+	k := newClient(c, near)
+	query := &protocol.Query{ID: "q", Track: "look", Deadline: 24 * time.Hour, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
+	c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
+	if c.counts.Legs != 1 || len(c.timers) < 2 {
+		t.Fatalf("%d legs, %d timers", c.counts.Legs, len(c.timers))
+	}
+	c.turn(func() { c.clientLeaves(k) }, c.endTurn)
+	c.turn(func() {}, c.endTurn)
+	for _, left := range c.timers {
+		if left.due > time.Minute {
+			t.Errorf("a timer is left that is due at %v", left.due)
+		}
+	}
+	if len(c.retrievals)+len(c.byQuery)+len(c.parts)+c.held > 0 || c.counts.Left != 1 {
+		t.Errorf("left: %d retrievals, %d ids, %d parts, %d held, counts %+v", len(c.retrievals), len(c.byQuery), len(c.parts), c.held, c.counts)
+	}
+}
+
 // A module that breaks costs what is open, and no more.
 func TestBrokenModuleStartsAnew(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -22,6 +22,7 @@
 	parts  []*part
 	closed bool
 	came   time.Duration
+	ends   *timer // at the cut-off
 }
 
 type part struct {
@@ -43,6 +44,7 @@
 	waitMS int64
 	over   bool // the module has been told, or is about to be
 	stage  stage
+	ends   *timer // when its time is over
 }
 
 // arrives takes a query in. It was whole at that time.
@@ -89,6 +91,7 @@
 	from.open = q
 	c.held += 1 + len(query.Parts)
 	left := max(0, q.cutOff-c.now)
+	q.ends = c.after(left, "", func() { c.overdue(q) })
 	c.trace("retrieval=%s track=%s left=%v parts=%d", query.ID, query.Track, left, len(query.Parts))
 	c.module.RetrievalArrives(c.now, q.id, number, track, 0, left, hint, len(query.Parts))
 	for _, asked := range query.Parts {
@@ -98,6 +101,16 @@
 	}
 }
 
+// overdue answers a retrieval that the module has left open until its cut-off. Guards against: a fault of the
+// module that would lose it. Could hurt: never, as its time is over.
+func (c *Coordinator) overdue(q *retrieval) {
+	if !q.closed {
+		c.log.Printf("event=overdue retrieval=%s", q.query.ID)
+		c.Scrap(q.id)
+		c.module.ClientLeaves(c.now, q.id)
+	}
+}
+
 // newID gives an id that nothing open has.
 func (c *Coordinator) newID() decide.RequestID {
 	for {
@@ -125,6 +138,7 @@
 // close ends a retrieval: nothing of it is sent from now on.
 func (c *Coordinator) close(q *retrieval) {
 	q.closed, q.client.open = true, nil
+	c.callOff(q.ends)
 	delete(c.retrievals, q.id)
 	delete(c.byQuery, q.query.ID)
 	c.held--
@@ -219,7 +233,7 @@
 	case !c.fleet.send(c, l, to):
 		c.tell(l, decide.Unreachable)
 	default:
-		c.after(wait, "", func() { c.giveUp(l, decide.TimedOut) })
+		l.ends = c.after(wait, "", func() { c.giveUp(l, decide.TimedOut) })
 	}
 }
 
@@ -242,12 +256,14 @@
 // tell has the module told at the start of the next turn how a leg ended.
 func (c *Coordinator) tell(l *leg, how decide.Outcome) {
 	l.over = true
+	c.callOff(l.ends)
 	took := c.now - l.sentAt
 	c.next = append(c.next, func() { c.ends(l, how, took) })
 }
 
 func (c *Coordinator) ends(l *leg, how decide.Outcome, took time.Duration) {
 	l.over = true
+	c.callOff(l.ends)
 	c.counts.Outcomes[how]++
 	c.trace("leg=%s.%d replica=%s outcome=%s took=%v", l.part.wire, l.number, l.link.uid(), outcomeNames[how], took)
 	c.module.LegEnds(c.now, l.part.id, l.number, how, took)
--- a/coordinator/turns.go
+++ b/coordinator/turns.go
@@ -20,7 +20,7 @@
 	now    time.Duration // of the present turn
 	inbox  chan func()
 	next   []func() // what the module is told at the start of the next turn
-	timers []timer  // by time due
+	timers []*timer // by time due
 
 	stoodFrom, stoodTo time.Duration // the last standstill of this process
 	ended              chan struct{}
@@ -49,18 +49,28 @@
 
 func (t *turns) since(at time.Time) time.Duration { return at.Sub(t.born) }
 
-func (t *turns) after(in time.Duration, name string, do func()) {
+// after has something done in a later turn; it returns nil if that is so already.
+func (t *turns) after(in time.Duration, name string, do func()) *timer {
 	due := t.now + max(0, in)
-	at, _ := slices.BinarySearchFunc(t.timers, due, func(o timer, due time.Duration) int {
+	at, _ := slices.BinarySearchFunc(t.timers, due, func(o *timer, due time.Duration) int {
 		if o.due <= due {
 			return -1
 		}
 		return 1
 	})
 	if name != "" && at > 0 && t.timers[at-1].due == due && t.timers[at-1].name == name {
-		return
+		return nil
+	}
+	set := &timer{due, name, do}
+	t.timers = slices.Insert(t.timers, at, set)
+	return set
+}
+
+// callOff lets go of a timer and of all that it holds.
+func (t *turns) callOff(o *timer) {
+	if at := slices.Index(t.timers, o); at >= 0 {
+		t.timers = slices.Delete(t.timers, at, at+1)
 	}
-	t.timers = slices.Insert(t.timers, at, timer{due, name, do})
 }
 
 // run takes turns until over says that nothing is left to do. In each, all that waits is told, in the
