--- a/cmd/terntray/main_test.go
+++ b/cmd/terntray/main_test.go
@@ -133,6 +133,24 @@
 	c.expect(map[int]string{1: value(a, 1)})
 }
 
+func TestReplicaThatMovesIsReachedAtItsNewAddress(t *testing.T) {
+	a, moved := newStandin(t, "s-a", 0, fulfil), newStandin(t, "s-a", 0, fulfil)
+	p, r := deployed(t, settings, a)
+	c := p.connect()
+	c.send(query("look", "q1", 10, 1))
+	c.expect(map[int]string{1: value(a, 1)})
+	r.mu.Lock()
+	r.all = []*standin{moved}
+	r.mu.Unlock()
+	r.change(moved, "ready")
+	until(t, "the change is told", func() bool { return strings.Contains(p.logged(), "rev=6 ") })
+	c.send(query("look", "q2", 10, 2))
+	c.expect(map[int]string{2: value(moved, 2)})
+	if len(a.seen()) != 1 || len(moved.seen()) != 1 {
+		t.Errorf("%d parts at the old address, %d at the new one", len(a.seen()), len(moved.seen()))
+	}
+}
+
 // Discovery that breaks off is asked again, and a list that begins anew at a lower revision is taken, whether
 // changes come unasked or to those who ask.
 func TestDiscoveryThatStartsAnewIsFollowed(t *testing.T) {
--- a/cmd/terntray/standins_test.go
+++ b/cmd/terntray/standins_test.go
@@ -345,6 +345,9 @@
 		name, n, _ := strings.Cut(pair, "=")
 		all[name], _ = strconv.Atoi(n)
 	}
+	if sum := all["fulfilled"] + all["turned_back"] + all["scrapped"] + all["left"] + all["open"]; sum != all["taken"] {
+		p.t.Errorf("taken does not add up: %v", all)
+	}
 	return all
 }
 
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -50,7 +50,7 @@
 }
 
 // last tells whether an answer made now is the connection's last.
-func (k *client) last() bool { return k.ends || k.c.leaving.Load() }
+func (k *client) last() bool { return k.ends || k.c.leaving.Load() || k.evicted.Load() }
 
 // answer hands over the answer to the request that is out, from the goroutine that takes the turns.
 func (k *client) answer(bytes []byte) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -100,7 +100,8 @@
 	}
 	c.list.start(c)
 	c.front.start(c, listener)
-	c.log.Printf("event=serving name=%s listen=%s replicas=%d", c.deployment.Name, listener.Addr(), len(c.fleet.all))
+	c.log.Printf("event=serving name=%s listen=%s replicas=%d",
+		c.deployment.Name, listener.Addr(), len(c.fleet.all))
 	context.AfterFunc(ctx, func() { c.post(c.leave) })
 	c.run(c.endTurn, c.broken, c.over)
 	c.list.stop()
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -5,21 +5,27 @@
 // Counts is what was taken in, sent and answered. Taken is the sum of Fulfilled, TurnedBack, Scrapped, Left
 // and what is open.
 type Counts struct {
-	Taken, Fulfilled, Partial, TurnedBack, Full, Scrapped, Left int    // Full: turned back by the bound on what is open
-	Bad                                                         int    // requests that were none
-	Outcomes                                                    [8]int // of legs, by how they ended
-	Late                                                        int    // replies to legs that had ended
-	Opened, Refused, Dropped                                    int    // connections to replicas
-	Lists, ListFailures                                         int
-	Broken                                                      int
-	Legs                                                        int
+	Taken, Fulfilled, Partial, TurnedBack, Scrapped, Left int
+
+	Full     int    // of those turned back: by the bound on what is open
+	Bad      int    // requests that were none
+	Legs     int    // sent
+	Outcomes [8]int // of legs, by how they ended
+	Late     int    // replies to legs that had ended
+
+	Opened, Refused, Dropped int // connections to replicas
+	Lists, ListFailures      int
+	Broken                   int
 }
 
-var outcomeNames = [8]string{"ok", "erred", "turned_away", "timed_out", "unreachable", "reset", "cancelled", "moot"}
+var outcomeNames = [8]string{
+	"ok", "erred", "turned_away", "timed_out", "unreachable", "reset", "cancelled", "moot",
+}
 
 func (n *Counts) line(open int) string {
-	s := fmt.Sprintf("taken=%d fulfilled=%d partial=%d turned_back=%d full=%d scrapped=%d left=%d open=%d bad=%d legs=%d",
-		n.Taken, n.Fulfilled, n.Partial, n.TurnedBack, n.Full, n.Scrapped, n.Left, open, n.Bad, n.Legs)
+	s := fmt.Sprintf("taken=%d fulfilled=%d partial=%d turned_back=%d full=%d scrapped=%d left=%d open=%d",
+		n.Taken, n.Fulfilled, n.Partial, n.TurnedBack, n.Full, n.Scrapped, n.Left, open)
+	s += fmt.Sprintf(" bad=%d legs=%d", n.Bad, n.Legs)
 	for i, name := range outcomeNames {
 		s += fmt.Sprintf(" legs_%s=%d", name, n.Outcomes[i])
 	}
--- a/coordinator/front.go
+++ b/coordinator/front.go
@@ -86,7 +86,8 @@
 	defer f.mu.Unlock()
 	var longest *client
 	for k := range f.clients {
-		if since := k.idleSince.Load(); since > 0 && !k.evicted.Load() && (longest == nil || since < longest.idleSince.Load()) {
+		since := k.idleSince.Load()
+		if idle := since > 0 && !k.evicted.Load(); idle && (longest == nil || since < longest.idleSince.Load()) {
 			longest = k
 		}
 	}
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -217,9 +217,9 @@
 }
 
 // write writes what is queued, all that waits in one go. How many bytes went tells which frames did. What the
-// machine does not take in the time that a new connection may need ends this one. Guards against: parts that go
-// out long after their retrieval's answer or a drain, from behind a replica that reads nothing. Should also
-// cover: links that take nothing. Could hurt: large texts on a slow link, where the machine's buffers are small.
+// machine does not take in the time that a new connection may need ends this one. Guards against: parts that
+// go out long after their retrieval's answer or a drain, from behind a replica that reads nothing. Should
+// also cover: links that take nothing. Could hurt: large texts on a slow link, where buffers are small.
 func (k *link) write(conn net.Conn) {
 	type end struct {
 		leg *leg
@@ -250,7 +250,9 @@
 				}
 				f.leg.stage = begun
 				p := f.leg.part
-				call = append(call, protocol.CallPart{ID: p.wire, Shard: p.shard, WaitMS: f.leg.waitMS, Text: p.of.query.Text})
+				call = append(call, protocol.CallPart{
+					ID: p.wire, Shard: p.shard, WaitMS: f.leg.waitMS, Text: p.of.query.Text,
+				})
 			}
 			bytes = protocol.AppendCall(bytes, call...)
 			for _, f := range k.queue[:len(call)] {
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -96,7 +96,7 @@
 }
 
 // restarted closes connections that are older than their replica's process. Guards against: a machine that
-// vanished and came back, whose old connections stay silent until they are written to, and then reset what is.
+// vanished and came back, whose old connections stay silent until written to, and then reset what is.
 // Should also cover: replicas replaced at the same address. Could hurt: if discovery's starts were wrong.
 func (c *Coordinator) restarted(r *replica, at time.Duration) {
 	for _, k := range r.links {
@@ -209,8 +209,8 @@
 
 // staleAfter learns from a connection that broke before anything was heard for what was written to it after a
 // rest: from now on none rests for as long. Guards against: far sides, or what lies between, that drop idle
-// connections sooner than stated, and single-use parts lost by it. Should also cover: a far side that restarts
-// unseen. Could hurt: by connections opened anew after a crash that looked like it; never under four times
+// connections sooner than stated, and single-use parts lost by it. Should also cover: a far side that
+// restarts unseen. Could hurt: by connections opened anew after a crash that looked like it; never under four times
 // what a new one may take.
 func (f *fleet) staleAfter(k *link) {
 	first := k.out[0]
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -122,7 +122,8 @@
 }
 
 func (c *Coordinator) inOrder() []*retrieval {
-	return slices.SortedFunc(maps.Values(c.retrievals), func(a, b *retrieval) int { return cmp.Compare(a.id, b.id) })
+	byID := func(a, b *retrieval) int { return cmp.Compare(a.id, b.id) }
+	return slices.SortedFunc(maps.Values(c.retrievals), byID)
 }
 
 // clientLeaves ends what a client that is gone has open.
@@ -265,7 +266,8 @@
 	l.over = true
 	c.callOff(l.ends)
 	c.counts.Outcomes[how]++
-	c.trace("leg=%s.%d replica=%s outcome=%s took=%v", l.part.wire, l.number, l.link.uid(), outcomeNames[how], took)
+	c.trace("leg=%s.%d replica=%s outcome=%s took=%v",
+		l.part.wire, l.number, l.link.uid(), outcomeNames[how], took)
 	c.module.LegEnds(c.now, l.part.id, l.number, how, took)
 	if l.part.of.closed && l.link != nil {
 		l.link.forget(l)
--- a/coordinator/turns.go
+++ b/coordinator/turns.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	inboxRoom  = 256                   // happenings that may wait for the next turn; who brings more waits itself
+	inboxRoom  = 256                   // happenings that wait for the next turn; who brings more waits itself
 	beat       = 20 * time.Millisecond // between turns at the most, so that a standstill is noticed
 	standstill = 30 * time.Millisecond // a turn that comes so much late shows one; more than a busy core's doing
 	catchUp    = 2 * time.Millisecond  // for the readers to bring what came meanwhile
@@ -102,7 +102,7 @@
 }
 
 // noteStandstill has the readers catch up if this turn comes far too late. Guards against: time-outs told of
-// legs whose replies are in but unread. Should also cover: requests that waited unread, as they count from its
+// legs whose replies are in but unread. Should also cover: requests that waited unread, which count from its
 // start (see cameAt). Could hurt: by a few milliseconds on a starved machine.
 func (t *turns) noteStandstill(due time.Duration) {
 	if now := time.Since(t.born); now-due > standstill {
