Refuse queries whose boosts do not add up to 1

Seen on reading decide's sums against what a client may send: boosts of 1 each made the first part that came in pass for a whole answer (settle, q.got >= need).

--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -210,8 +210,8 @@
 // staleAfter learns from a connection that broke before anything was heard for what was written to it after a
 // rest: from now on none rests for as long. Guards against: far sides, or what lies between, that drop idle
 // connections sooner than stated, and single-use parts lost by it. Should also cover: a far side that
-// restarts unseen. Could hurt: by connections opened anew after a crash that looked like it; never under four times
-// what a new one may take.
+// restarts unseen. Could hurt: by connections opened anew after a crash that looked like it; never under
+// four times what a new one may take.
 func (f *fleet) staleAfter(k *link) {
 	first := k.out[0]
 	if quiet := k.heardAt < first.sentAt && k.c.now-first.sentAt < f.connectWithin; quiet && k.rested > 0 {
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	mostID       = 200                // bytes of a request's id
-	mostDeadline = 24 * 60 * 60 * 1e0 // seconds that a client may say it waits
-	queryRoom    = http.StatusOK      // what a fulfilled retrieval is answered with
+	mostID       = 200          // bytes of a request's id
+	mostDeadline = 24 * 60 * 60 // seconds that a client may say it waits
+	sharesOff    = 0.001        // what the shares of a whole may miss 1 by: many parts, rounded to six places
+	fulfilled    = http.StatusOK
 	turnedBack   = http.StatusServiceUnavailable
 )
 
@@ -102,7 +103,7 @@
 		return nil, fault(http.StatusBadRequest, "the query has no segments or no text")
 	}
 	q.Text = []byte(*body.Text)
-	seen := make(map[int]bool, len(body.Segments))
+	seen, sum := make(map[int]bool, len(body.Segments)), 0.0
 	for n, s := range body.Segments {
 		if s.Segment == nil || s.Boost == nil || *s.Segment < 0 || *s.Boost < 0 {
 			return nil, fault(http.StatusBadRequest, "segments[%d] has no usable segment and boost", n)
@@ -111,9 +112,14 @@
 			return nil, fault(http.StatusBadRequest, "segment %d stands twice", *s.Segment)
 		}
 		seen[*s.Segment] = true
+		sum += *s.Boost
 		hint := math.Max(0, math.Min(s.Work, mostDeadline*1e6))
 		q.Parts = append(q.Parts, QueryPart{*s.Segment, *s.Boost, time.Duration(hint) * time.Microsecond})
 	}
+	// Shares that add up to more would let an answer pass for whole while parts are missing.
+	if math.Abs(sum-1) > sharesOff {
+		return nil, fault(http.StatusBadRequest, "the boosts add up to %g, not to 1", sum)
+	}
 	return q, nil
 }
 
@@ -146,7 +152,7 @@
 		AllIn   bool    `json:"all_in"`
 		Matches []Match `json:"matches"`
 	}{whole, matches})
-	return Respond(queryRoom, "application/json", body.Bytes(), 0, last)
+	return Respond(fulfilled, "application/json", body.Bytes(), 0, last)
 }
 
 // TurnBackWith makes the response to a retrieval that is turned back.
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -140,6 +140,9 @@
 		"one twice":           {"a", "1", `{"segments":[{"segment":1,"boost":1},{"segment":1,"boost":1}],"text":"x"}`},
 		"no number of one":    {"a", "1", `{"segments":[{"boost":1}],"text":"x"}`},
 		"below 0":             {"a", "1", `{"segments":[{"segment":-1,"boost":1}],"text":"x"}`},
+		"shares over 1":       {"a", "1", `{"segments":[{"segment":1,"boost":1},{"segment":2,"boost":1}],"text":"x"}`},
+		"shares under 1":      {"a", "1", `{"segments":[{"segment":1,"boost":0.5}],"text":"x"}`},
+		"endless shares":      {"a", "1", `{"segments":[{"segment":1,"boost":1e308},{"segment":2,"boost":1e308}],"text":"x"}`},
 		"no boost":            {"a", "1", `{"segments":[{"segment":1}],"text":"x"}`},
 		"not a whole number":  {"a", "1", `{"segments":[{"segment":1.5,"boost":1}],"text":"x"}`},
 	} {
