--- a/cmd/terntray/commands.go
+++ b/cmd/terntray/commands.go
@@ -15,7 +15,10 @@
 	"terntray/coordinator"
 )
 
-const memoryShare = 0.7 // of the limit on memory that the collector keeps to
+const (
+	release     = "0.1"
+	memoryShare = 0.7 // of the limit on memory that the collector keeps to
+)
 
 func serve(flags *flag.FlagSet, args []string) error {
 	trace := flags.Bool("trace", false, "log a line for each retrieval and leg")
@@ -58,17 +61,15 @@
 
 func version(flags *flag.FlagSet, args []string) error {
 	parse(flags, args)
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return fmt.Errorf("built without its version")
-	}
-	revision := "unknown"
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			revision = s.Value
+	fmt.Print("terntray ", release, " ", runtime.Version())
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				fmt.Print(" revision ", s.Value)
+			}
 		}
 	}
-	fmt.Println("terntray", info.Main.Version, "revision", revision, info.GoVersion)
+	fmt.Println()
 	return nil
 }
 
--- a/cmd/terntray/main_test.go
+++ b/cmd/terntray/main_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
+	"os"
 	"os/exec"
 	"strconv"
 	"strings"
@@ -540,3 +542,42 @@
 		t.Errorf("counters %v", n)
 	}
 }
+
+// What clients and replicas open and drop is given back, however they do it.
+func TestDescriptorsAreGivenBack(t *testing.T) {
+	a := newStandin(t, "s-a", 0, fulfil)
+	p, _ := deployed(t, settings, a)
+	descriptors := func() int {
+		all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+		if err != nil {
+			t.Skip("the descriptors of a process cannot be seen here")
+		}
+		return len(all)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	before := descriptors()
+	for n := range 60 {
+		c := p.connect()
+		switch n % 4 {
+		case 0: // leaves with its answer
+			c.send(query("look", fmt.Sprint("q", n), 10, 3))
+			c.receive()
+		case 1: // leaves without it
+			c.send(query("look", fmt.Sprint("q", n), 10, 3))
+		case 2: // leaves in the midst of a request
+			c.send(query("look", fmt.Sprint("q", n), 10, 3)[:n])
+		case 3: // sends what is no request
+			c.send("?\r\n\r\n")
+			c.receive()
+		}
+		c.conn.Close()
+		if n%10 == 0 {
+			a.mu.Lock()
+			for _, conn := range a.conns {
+				conn.Close()
+			}
+			a.mu.Unlock()
+		}
+	}
+	until(t, "all descriptors but a connection to the replica are back", func() bool { return descriptors() <= before+1 })
+}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -99,13 +99,17 @@
 	}
 }
 
-// cutOff is a connection that takes so many bytes and then breaks.
+// cutOff is a connection that takes so many bytes and then breaks; its link ends with the first write.
 type cutOff struct {
 	net.Conn
 	room int
+	of   *link
 }
 
 func (c *cutOff) Write(b []byte) (int, error) {
+	c.of.mu.Lock()
+	c.of.ended = true
+	c.of.mu.Unlock()
 	if len(b) > c.room {
 		return c.room, net.ErrClosed
 	}
@@ -130,14 +134,8 @@
 			k.queueUp(frame{leg: l})
 		}
 		legs := k.out
-		time.AfterFunc(10*time.Millisecond, func() { // ends the writer where nothing breaks
-			k.mu.Lock()
-			k.ended = true
-			k.more.Signal()
-			k.mu.Unlock()
-		})
 		far, _ := net.Pipe()
-		k.write(&cutOff{far, room})
+		k.write(&cutOff{far, room, k})
 		c.counts.Outcomes = [8]int{}
 		c.linkEnded(k, net.ErrClosed, 0)
 		if got := c.counts.Outcomes; got[decide.Reset] != want || got[decide.Unreachable] != 3-want {
