Reload on SIGHUP and follow discovery at its new address

Ruled out: a slow watch (lists came in time until the reload). Now the handler stands first of all; the file is read anew (and again while it cannot be used), discovery in it holds over the environment, the new address tells its whole list before the old watch is let go, and the module hears nothing. The test fails without it.

--- a/cmd/terntray/commands.go
+++ b/cmd/terntray/commands.go
@@ -23,6 +23,9 @@
 func serve(flags *flag.FlagSet, args []string) error {
 	trace := flags.Bool("trace", false, "log a line for each retrieval and leg")
 	parse(flags, args)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // before anything else: unhandled it would end the process
+	signal.Ignore(syscall.SIGPIPE)         // a log that nobody reads is no reason to end
 	deployment, err := coordinator.ReadDeployment(os.Getenv)
 	if err != nil {
 		return err
@@ -33,7 +36,6 @@
 	if cores := deployment.Limits.Cores; cores > 0 {
 		runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), max(1, int(math.Ceil(cores)))))
 	}
-	signal.Ignore(syscall.SIGPIPE, syscall.SIGHUP) // a log that nobody reads is no reason to end
 	lines := newLogs(os.Stderr)
 	defer lines.end()
 	c, err := coordinator.New(deployment, log.New(lines, "", log.Lmicroseconds))
@@ -41,6 +43,11 @@
 		return err
 	}
 	c.Trace = *trace
+	go func() {
+		for range hangups {
+			c.Reload()
+		}
+	}()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return c.Serve(ctx)
--- a/cmd/terntray/main_test.go
+++ b/cmd/terntray/main_test.go
@@ -173,6 +173,43 @@
 	}
 }
 
+// SIGHUP moves the list to the address that the file then names, whatever the environment said at the start. A file
+// that cannot be used changes nothing and is read again; nobody's connection is touched.
+func TestReloadFollowsTheListAtItsNewAddress(t *testing.T) {
+	for _, mode := range []string{"automatic", "subscribe"} {
+		a, b := newStandin(t, "s-a", 0, fulfil), newStandin(t, "s-b", 0, fulfil)
+		old, next := newRoster(t, "127.0.0.1:0", a), newRoster(t, "127.0.0.1:0", b)
+		next.rev = 2
+		set := strings.Replace(settings, `"automatic"`, strconv.Quote(mode), 1)
+		env := configure(t, old.l.Addr().String(), 1024, set, a)
+		p := start(t, append(env, "ROUTER_DISCOVERY="+old.l.Addr().String()))
+		until(t, "a watch stands", func() bool { return old.watched() > 0 })
+		c := p.connect()
+		c.send(query("look", "q1", 10, 3))
+		c.expect(map[int]string{3: value(a, 3)})
+		file := strings.TrimPrefix(env[0], "ROUTER_CONFIG=")
+		sound, _ := os.ReadFile(file)
+		os.WriteFile(file, sound[:len(sound)/2], 0o600)
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		until(t, "the file is found bad", func() bool { return strings.Contains(p.logged(), "event=reload_failed") })
+		c.send(query("look", "q2", 10, 3))
+		c.expect(map[int]string{3: value(a, 3)})
+		moved := strings.Replace(string(sound), old.l.Addr().String(), next.l.Addr().String(), 1)
+		os.WriteFile(file, []byte(moved), 0o600)
+		until(t, "the watch has moved", func() bool { return next.watched() > 0 })
+		old.server.Close()
+		for n := range 3 { // with the same address no watch begins anew
+			p.cmd.Process.Signal(syscall.SIGHUP)
+			until(t, "it is read again", func() bool { return p.counters()["reloads"] == n+2 })
+		}
+		c.send(query("look", "q3", 10, 3))
+		c.expect(map[int]string{3: value(b, 3)})
+		if n := p.counters(); n["list_failures"] > 0 || next.watched() != 1 {
+			t.Errorf("counters %v, %d watches", n, next.watched())
+		}
+	}
+}
+
 func TestUnusableFramesCloseTheirConnectionAlone(t *testing.T) {
 	for name, rest := range map[string]string{"N": "Nwhat is this", "Y": "Yq1.3 FINE 0 -\nx", "Q": "Q", "-": "Y"} {
 		a := newStandin(t, "s-a", 0, func(s *standin, c call) { s.write(c.conn, rest[0], rest[1:]) })
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -46,6 +46,8 @@
 	leaving atomic.Bool // told to end; read by all
 	gone    bool        // and no client can come any more
 	drivers sync.WaitGroup
+
+	stopReading context.CancelFunc // of a configuration that is read anew
 }
 
 // New makes a co-ordinator; it opens nothing yet.
@@ -57,6 +59,8 @@
 		retrievals: map[decide.RequestID]*retrieval{},
 		byQuery:    map[string]*retrieval{},
 		parts:      map[decide.RequestID]*part{},
+
+		stopReading: func() {},
 	}
 	for n, name := range d.names("lanes") {
 		c.tracks[name] = decide.TrackIndex(n)
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -15,7 +15,7 @@
 
 	Opened, Refused, Dropped int // connections to replicas
 	Lists, ListFailures      int
-	Broken                   int
+	Broken, Reloads          int
 }
 
 var outcomeNames = [8]string{
@@ -29,6 +29,6 @@
 	for i, name := range outcomeNames {
 		s += fmt.Sprintf(" legs_%s=%d", name, n.Outcomes[i])
 	}
-	return s + fmt.Sprintf(" late=%d opened=%d refused=%d dropped=%d lists=%d list_failures=%d broken=%d",
-		n.Late, n.Opened, n.Refused, n.Dropped, n.Lists, n.ListFailures, n.Broken)
+	return s + fmt.Sprintf(" late=%d opened=%d refused=%d dropped=%d lists=%d list_failures=%d broken=%d reloads=%d",
+		n.Late, n.Opened, n.Refused, n.Dropped, n.Lists, n.ListFailures, n.Broken, n.Reloads)
 }
--- a/coordinator/deployment.go
+++ b/coordinator/deployment.go
@@ -28,6 +28,8 @@
 	Nested    json.RawMessage  `json:"settings"`
 
 	settings map[string]string
+	path     string // of the file
+	stated   string // the address of discovery as the file states it
 }
 
 // Limits are those of the machine.
@@ -43,13 +45,9 @@
 	if path == "" {
 		return nil, errors.New("ROUTER_CONFIG is not set: the file that describes the deployment")
 	}
-	text, err := os.ReadFile(path)
+	d, err := readFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
-	}
-	d := &Deployment{}
-	if err := json.Unmarshal(text, d); err != nil {
-		return nil, fmt.Errorf("ROUTER_CONFIG: %s: %w", path, err)
+		return nil, err
 	}
 	for name, field := range map[string]*string{
 		"ROUTER_NAME": &d.Name, "ROUTER_LISTEN": &d.Listen, "ROUTER_DISCOVERY": &d.Discovery,
@@ -64,9 +62,23 @@
 	if d.Discovery == "" {
 		return nil, errors.New("ROUTER_DISCOVERY is not set: the address of discovery")
 	}
+	return d, nil
+}
+
+// readFile reads what the file alone says.
+func readFile(path string) (*Deployment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	d := &Deployment{path: path}
+	if err := json.Unmarshal(text, d); err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %s: %w", path, err)
+	}
 	if d.settings, err = Flatten(d.Nested); err != nil {
 		return nil, fmt.Errorf("ROUTER_CONFIG: %s: settings: %w", path, err)
 	}
+	d.stated = d.Discovery
 	return d, nil
 }
 
--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -19,16 +19,18 @@
 // list follows discovery's list of replicas.
 type list struct {
 	c        *Coordinator
-	failing  bool // the last call did
-	asked    bool // changes come only to those who ask, and the module decides when
+	host     string // where it is followed
+	failing  bool   // the last call did
+	asked    bool   // changes come only to those who ask, and the module decides when
 	hold     time.Duration
 	held     protocol.Listing
 	stopCall context.CancelFunc
+	stopMove context.CancelFunc // of the watch at a new address that has yet to tell the whole list; or nil
 }
 
 // start tells the module the list as it was last held and, where changes come unasked, begins to follow it.
 func (l *list) start(c *Coordinator) {
-	l.c, l.held = c, c.deployment.Known
+	l.c, l.held, l.host = c, c.deployment.Known, c.deployment.Discovery
 	l.asked = c.deployment.settings["discovery"] == "subscribe"
 	// Half of the time in which silence counts as told leaves room for a second call.
 	l.hold = hold
@@ -42,7 +44,36 @@
 	}
 }
 
-func (l *list) stop() { l.stopCall() }
+func (l *list) stop() {
+	l.stopCall()
+	l.stay()
+}
+
+// stay calls a move to another address off.
+func (l *list) stay() {
+	if l.stopMove != nil {
+		l.stopMove()
+		l.stopMove = nil
+	}
+}
+
+// move has the list followed at another address. The old one is heard until the new one has told the whole list.
+func (l *list) move(host string) {
+	l.stay()
+	if host != l.host {
+		l.failing = false
+		ctx, stop := context.WithCancel(context.Background())
+		l.stopMove = stop
+		l.c.drivers.Go(func() { l.watch(ctx, host) })
+	}
+}
+
+// arrived makes the address that has told the whole list the one where it is followed.
+func (l *list) arrived(host string) {
+	l.stopCall()
+	l.c.log.Printf("event=list_moved from=%s to=%s", l.host, host)
+	l.host, l.stopCall, l.stopMove = host, l.stopMove, nil
+}
 
 // retell tells the module the list as it is held.
 func (l *list) retell() {
@@ -56,11 +87,11 @@
 	l.stopCall()
 	ctx, stop := context.WithCancel(context.Background())
 	l.stopCall = stop
-	l.c.drivers.Go(func() { l.watch(ctx) })
+	l.watch(ctx, l.host)
 }
 
-// watch asks for the whole list, then for what changes, until it fails or is stopped.
-func (l *list) watch(ctx context.Context) {
+// watch asks for the whole list, then for what changes, until that fails or is stopped.
+func (l *list) watch(ctx context.Context, host string) {
 	post := func(do func()) {
 		l.c.post(func() {
 			if ctx.Err() == nil {
@@ -68,36 +99,48 @@
 			}
 		})
 	}
-	for ctx.Err() == nil {
-		began := time.Now()
-		err := l.calls(ctx, func(told *protocol.Listing) {
+	began := l.c.now
+	l.c.drivers.Go(func() {
+		err := l.calls(ctx, host, func(told *protocol.Listing) {
 			post(func() {
 				l.c.counts.Lists++
+				if host != l.host {
+					l.arrived(host)
+				}
 				l.failing = false
 				l.tell(told, false)
 			})
 		})
 		post(func() {
-			l.c.counts.ListFailures++
-			if l.asked || !l.failing { // else told once
-				l.c.log.Printf("event=list_failed cause=%q", err)
-				l.c.module.ListFailed(l.c.now)
+			l.broke(host, err)
+			if l.asked && l.stopMove == nil {
+				return // the module says when
 			}
-			l.failing = true
+			l.c.after(began+askAgain-l.c.now, "", func() { // at once, if it went well for so long
+				if ctx.Err() == nil {
+					l.watch(ctx, host)
+				}
+			})
 		})
-		if l.asked {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Until(began.Add(askAgain))): // at once, if it went well for so long
-		}
+	})
+}
+
+// broke takes a watch that has ended. The module is told of it, but where changes come unasked only of the first
+// in a row, and not while the list is moving: the new address has yet to tell it.
+func (l *list) broke(host string, cause error) {
+	l.c.counts.ListFailures++
+	told := l.stopMove == nil && (l.asked || !l.failing)
+	if told || !l.failing {
+		l.c.log.Printf("event=list_failed at=%s cause=%q", host, cause)
+	}
+	if told {
+		l.c.module.ListFailed(l.c.now)
 	}
+	l.failing = true
 }
 
 // calls makes one call after the other on one connection; it returns what ended it.
-func (l *list) calls(ctx context.Context, tell func(*protocol.Listing)) error {
-	host := l.c.deployment.Discovery
+func (l *list) calls(ctx context.Context, host string, tell func(*protocol.Listing)) error {
 	var conn net.Conn
 	var answers protocol.Listings
 	defer func() {
@@ -128,8 +171,8 @@
 			conn.Close()
 			conn = nil
 		}
-		if !told.All && told.Rev < rev {
-			return fmt.Errorf("revision %d after %d", told.Rev, rev)
+		if !told.All && (wait == 0 || told.Rev < rev) {
+			return fmt.Errorf("changes of revision %d after %d", told.Rev, rev)
 		}
 		rev = told.Rev
 		tell(told)
