Keep health by track at each replica and scale its times to the agreed times

Checked with a trace: legs of coverage-report sent to four replicas got no answer while the two other tracks were answered there in 10 ms, so each answer renewed replyAt and watch() never set them aside; their legs filled the caps (nothing sent to one for 1.1 s), and copies went out only when little time was left. Also hungAfter (0.8 s) was longer than an agreed time here (0.38 s). Ruled out: one dead connection among several (answers came on the same one), pauses, the connections closed after an answer (40 requests of 14000). Now a replica is set aside for one track when later legs there are answered and that track's are not; errors in a row count by track; silence, error and trial times shrink with the shortest agreed time; places of replicas that are gone are used again; a cold log goes when its replica is warm.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -11,8 +11,6 @@
 	"hash/fnv"
 	"math"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 )
 
@@ -58,13 +56,15 @@
 	maxCopies   = 24.0 // second copies; the most that may be saved up
 	wasteWeighs = 22.0 // times the price of waste, squared and added to 1: what both are divided by
 
-	hungAfter  = 800 * time.Millisecond // silence with legs out; longer than ordinary pauses
-	hungTimes  = 4.0                    // times the expected time: nor is a slow replica a silent one
-	errorLimit = 3                      // replies in a row that bring no answer set a replica aside
-	errorWait  = 200 * time.Millisecond // from a leg without an answer to a further leg there
-	trialFirst = 1 * time.Second        // from setting aside to the first trial
-	trialMost  = 4 * time.Second        // longest time between trials
-	paceFades  = 10.0                   // seconds in which the pace of an idle replica goes back to a third
+	usualPace  = 1500 * time.Millisecond // agreed time; where all are shorter, so are the times in this group
+	hungAfter  = 800 * time.Millisecond  // silence with legs out; longer than ordinary pauses
+	hungTimes  = 4.0                     // times the expected time: nor is a slow replica a silent one
+	hungPassed = 4                       // answers to later legs; heavy parts let few by
+	errorLimit = 3                       // replies in a row that bring no answer set a replica aside
+	errorWait  = 200 * time.Millisecond  // from a leg without an answer to a further leg there
+	trialFirst = 1 * time.Second         // from setting aside to the first trial
+	trialMost  = 4 * time.Second         // longest time between trials
+	paceFades  = 10.0                    // seconds in which the pace of an idle replica goes back to a third
 
 	askFirst    = 500 * time.Millisecond // to the next call after one for the list has failed
 	askMost     = 4 * time.Second        // at most between such calls
@@ -88,20 +88,13 @@
 	leastBurst = 2.0  // retrievals; the least of it: a co-ordinator of many may see one in some seconds
 )
 
-type effect int
-
-const (
-	replayable effect = iota
-	referenced
-	singleUse
-)
-
-var effects = []string{"pure", "token", "side_effect"} // as the settings name them
+const replayable, referenced, singleUse = "pure", "token", "side_effect" // as the settings name them
 
 type track struct {
+	index                             int
 	agreed, cutOff, window            time.Duration
 	stretch, late, need, floor, earns float64
-	effect                            effect
+	effect                            string
 	endedAt                           time.Duration // the last retrieval that counted
 	fetch                             int
 	unit                              time.Duration // learned: work of a part
@@ -118,6 +111,7 @@
 	sentAt     time.Duration
 	base, work time.Duration // expected time at pace 1, and the part's own share of it
 	done, ran  bool          // ran: it may have, as far as its end tells
+	passed     int           // answers from there to later legs
 }
 
 type part struct {
@@ -132,20 +126,18 @@
 }
 
 type retrieval struct {
-	id                      RequestID
-	number                  RetrievalNumber
-	track                   *track
-	arrived, agreed, endAt  time.Duration
-	parts                   []*part
-	due, step               int
-	got                     float64       // weight of the parts that are in
-	firstAt                 time.Duration // when its first leg went
-	in, ratio, sent         float64       // parts in; their times over the expected, summed; legs sent
-	firstWhole, overShare   bool
-	admitted, ended, judged bool
-	deaths                  float64       // times that a replica seemed to die under it
-	diedAt                  time.Duration // the last of them
-	suspect                 replica       // where
+	id                                             RequestID
+	number                                         RetrievalNumber
+	track                                          *track
+	arrived, agreed, endAt, firstAt                time.Duration // firstAt: when its first leg went
+	parts                                          []*part
+	due, step                                      int
+	got                                            float64 // weight of the parts that are in
+	in, ratio, sent                                float64 // parts in, their times over the expected, legs
+	firstWhole, overShare, admitted, ended, judged bool
+	deaths                                         float64       // times that a replica seemed to die under it
+	diedAt                                         time.Duration // the last of them
+	suspect                                        replica       // where
 }
 
 const nowhere replica = -1
@@ -157,46 +149,47 @@
 	missing     error
 	seed, draws uint64
 
-	tracks                                 []track
-	quickest                               time.Duration // shortest agreed time
-	self, balancers, cells, reach, maxLegs int
-	mayCancel, mayCopy                     bool
-	ownZone                                ZoneIndex
-	maxReturn, callCost, zonePenalty       time.Duration // zonePenalty: what crossing zones is worth, as time
-	tipMultiple, startShare                float64
-	warmAfter, tipOver, budgetSpan         time.Duration
-	budgetFree, budgetShare                float64
-	quota, allowance                       []float64 // per tenant: per second here, and left
-	asks, subscribed                       bool
-	askAt, askWait, askEvery               time.Duration
-	now, refilled, wakeAt, stalled         time.Duration
-	shedAt                                 time.Duration // last turning back
+	tracks                                           []track
+	self, balancers, cells, reach, maxLegs           int
+	mayCancel, mayCopy                               bool
+	ownZone                                          ZoneIndex
+	quickest                                         time.Duration // shortest agreed time
+	maxReturn, callCost, zonePenalty                 time.Duration // zonePenalty: what crossing zones costs
+	warmAfter, tipOver, budgetSpan                   time.Duration
+	tipMultiple, startShare, budgetFree, budgetShare float64
+	quota, allowance                                 []float64 // per tenant: per second here, and left
+	asks, subscribed                                 bool
+	askAt, askWait, askEvery                         time.Duration
+	now, refilled, wakeAt, stalled, shedAt           time.Duration // shedAt: the last turning back
 
 	open           []*retrieval // in order of arrival
 	byID           map[RequestID]*retrieval
 	byNum          map[RetrievalNumber]*retrieval
 	parts          map[RequestID]*part // those with legs out or of open retrievals
 	copies, thrift float64             // second copies earned, less where waste is dear
+	tempo          float64             // times the times that are meant for long agreed ones
 	unseen         float64             // times the expected finish, for what others have waiting
 	lanes          float64             // learned: parts a replica works on side by side
 	taken, extras  []time.Duration     // within the leg budget's span
 
-	index             map[ReplicaID]replica
-	id                []ReplicaID
-	life              []Life
-	cell              []CellNumber
-	zone              []ZoneIndex
-	aside, growing    []bool          // set aside; back from there, the cap doubling
-	limit, credit     []float64       // the cap; further legs earned
-	pace              []float64       // times the expected time that it takes
-	recent, usual     []float64       // latency over work, of late and usually
-	started, replyAt  []time.Duration // last start and answer
-	halvedAt, errAt   []time.Duration // last halving of the cap, last error
-	trialAt, trialGap []time.Duration // next trial, and from it to the one after
-	outWork, heldWork []time.Duration // expected work out there and held for it
-	errs              []int           // replies in a row that brought no answer
-	outs              [][]*leg        // in order of sending
-	coldLog           [][]*leg        // sent while cold
+	index                   map[ReplicaID]replica
+	id                      []ReplicaID
+	life                    []Life
+	cell                    []CellNumber
+	zone                    []ZoneIndex
+	aside                   [][]bool          // by track: set aside
+	growing                 []bool            // back from there, the cap doubling
+	limit, credit           []float64         // the cap; further legs earned
+	pace                    []float64         // times the expected time that it takes
+	recent, usual           []float64         // latency over work, of late and usually
+	started, replyAt        []time.Duration   // last start and answer
+	answeredAt              [][]time.Duration // last answer, by track
+	halvedAt, errAt, hereAt []time.Duration   // last halving of the cap, last error, last time in the list
+	trialAt, trialGap       []time.Duration   // next trial, and from it to the one after
+	outWork, heldWork       []time.Duration   // expected work out there and held for it
+	errs                    [][]int           // by track: replies in a row that brought no answer
+	outs                    [][]*leg          // in order of sending
+	coldLog                 [][]*leg          // sent while cold
 }
 
 // New starts a co-ordinator. It fails if a setting that it cannot do without is missing or unreadable.
@@ -211,19 +204,20 @@
 	c.quickest, c.self = math.MaxInt64, int(c.number("selfIndex", false))
 	for n := range int(c.number("lanes.count", true)) {
 		path := fmt.Sprintf("lanes.%d.", n)
-		t := track{agreed: c.span(path+"aim", true), cutOff: c.span(path+"deadline", true),
+		t := track{index: n, agreed: c.span(path+"aim", true), cutOff: c.span(path+"deadline", true),
 			window: c.span(path+"window", false), stretch: c.number(path+"aimStretch", false),
 			late: c.number(path+"lateWorth", false), need: c.nth("familyInfo.classNeed", n, 1),
 			earns: c.nth("familyInfo.partialEarns", n, 0), fetch: int(c.nth("familyInfo.classFetch", n, 0)),
-			hintUnit: 1, longer: 1}
+			effect: settings[path+"effect"], hintUnit: 1, longer: 1}
 		t.floor = min(t.need, c.nth("familyInfo.leastShare", n, t.need))
-		if t.effect = effect(slices.Index(effects, settings[path+"effect"])); t.effect < 0 {
+		if !slices.Contains([]string{replayable, referenced, singleUse}, t.effect) {
 			c.miss(path + "effect")
 		}
 		t.unit, c.quickest = scale(t.agreed, startUnit), min(c.quickest, t.agreed)
 		c.tracks = append(c.tracks, t)
 	}
 	c.zonePenalty = scale(c.quickest, c.number("tariffs.crossZone", false))
+	c.tempo = min(1, float64(c.quickest)/float64(usualPace))
 	c.unseen = 1 + unseenMore*max(0, math.Log(float64(c.balancers)/fewAlike))
 	c.thrift = 1 / (1 + math.Pow(wasteWeighs*c.number("tariffs.waste", false), 2))
 	c.copies = maxCopies * c.thrift
@@ -233,16 +227,12 @@
 		c.maxReturn = c.span("bounds.maxRetryAfter", false)
 	}
 	c.callCost, c.ownZone = c.span("familyInfo.callCost", false), ZoneIndex(c.number("zone", false))
-	if settings["guarantees.tipMultiple"] != "" {
-		c.tipMultiple = c.number("guarantees.tipMultiple", true)
-		c.startShare = c.number("guarantees.startCapacity", true)
-		c.warmAfter, c.tipOver = c.span("guarantees.warmAfter", true), c.span("guarantees.overloadFor", true)
-	}
-	if settings["guarantees.ratioSpan"] != "" || settings["guarantees.extraRatio"] != "" {
-		c.budgetSpan = c.span("guarantees.ratioSpan", true)
-		c.budgetShare = c.number("guarantees.extraRatio", true)
-		c.budgetFree = c.number("guarantees.minExtra", false)
-	}
+	c.tipMultiple = c.number("guarantees.tipMultiple", false)
+	cold, budget := c.tipMultiple > 0, settings["guarantees.ratioSpan"]+settings["guarantees.extraRatio"] != ""
+	c.startShare, c.warmAfter = c.number("guarantees.startCapacity", cold), c.span("guarantees.warmAfter", cold)
+	c.tipOver, c.budgetSpan = c.span("guarantees.overloadFor", cold), c.span("guarantees.ratioSpan", budget)
+	c.budgetShare = c.number("guarantees.extraRatio", budget)
+	c.budgetFree = c.number("guarantees.minExtra", false)
 	for n := range int(c.number("orgs.count", false)) {
 		q := c.number(fmt.Sprintf("orgs.%d.quotaPerS", n), false) / float64(c.balancers)
 		c.quota, c.allowance = append(c.quota, q), append(c.allowance, max(leastBurst, q*shareBurst))
@@ -254,37 +244,6 @@
 	return c, c.missing
 }
 
-func (c *Coordinator) number(name string, must bool) float64 {
-	n, err := 0.0, error(nil)
-	if v := c.settings[name]; v != "" && v != "-" {
-		n, err = strconv.ParseFloat(v, 64)
-	}
-	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) || must && n <= 0 {
-		c.miss(name)
-	}
-	return n
-}
-
-func (c *Coordinator) miss(name string) {
-	c.missing = cmp.Or(c.missing, fmt.Errorf("setting %s is missing or unreadable", name))
-}
-
-func (c *Coordinator) nth(name string, n int, absent float64) float64 {
-	values := strings.Split(c.settings[name], ",")
-	if n >= len(values) || values[n] == "" {
-		return absent
-	}
-	v, err := strconv.ParseFloat(values[n], 64)
-	if err != nil {
-		c.miss(name)
-	}
-	return v
-}
-
-func (c *Coordinator) span(name string, must bool) time.Duration {
-	return time.Duration(c.number(name, must)) * time.Microsecond
-}
-
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
 func (c *Coordinator) chance() float64 {
@@ -309,26 +268,16 @@
 	cell CellNumber, zone ZoneIndex) {
 	r, known := c.index[id]
 	if !known {
-		r = replica(len(c.id))
-		c.index[id] = r
-		c.id, c.life, c.errs = append(c.id, id), append(c.life, life), append(c.errs, 0)
-		c.cell, c.zone = append(c.cell, cell), append(c.zone, zone)
-		for _, figures := range []*[]float64{&c.pace, &c.recent, &c.usual} {
-			*figures = append(*figures, 1)
-		}
-		for _, d := range []*[]time.Duration{&c.replyAt, &c.errAt, &c.halvedAt, &c.trialAt, &c.outWork,
-			&c.heldWork} {
-			*d = append(*d, 0)
-		}
-		c.limit, c.credit = append(c.limit, startCap), append(c.credit, startCredit)
-		c.started, c.trialGap = append(c.started, LongAgo), append(c.trialGap, trialFirst)
-		c.aside, c.growing = append(c.aside, false), append(c.growing, false)
-		c.outs, c.coldLog = append(c.outs, nil), append(c.coldLog, nil)
+		r = c.room()
+		delete(c.index, c.id[r])
+		c.index[id], c.id[r], c.started[r], c.growing[r] = r, id, LongAgo, false
+		c.pace[r], c.recent[r], c.usual[r], c.limit[r], c.credit[r] = 1, 1, 1, startCap, startCredit
+		c.sound(r)
 	}
 	c.life[r], c.cell[r], c.zone[r] = life, cell, zone
 	if started > c.started[r] {
-		c.started[r], c.aside[r], c.errs[r] = started, false, 0
-		c.limit[r], c.trialGap[r] = startCap, trialFirst
+		c.started[r], c.limit[r] = started, startCap
+		c.sound(r)
 		if c.coldFor(r) { // slow at first
 			c.pace[r], c.usual[r] = 1/math.Sqrt(c.warmth(r)), 1
 			c.host.Log(fmt.Sprintf("replica %d is cold: easing it in", c.id[r]))
@@ -336,12 +285,41 @@
 	}
 }
 
+// room finds a place for a new replica: one of a replica that is gone and that nothing open can mean, if any.
+// Guards against: tables that grow with all that were ever listed. Could hurt: what comes back starts anew.
+func (c *Coordinator) room() replica {
+	for r, here := range c.hereAt {
+		unused := c.life[r] == Left && len(c.outs[r]) == 0 && c.now-here > trialMost
+		if unused && (len(c.open) == 0 || c.open[0].arrived > here) {
+			return replica(r)
+		}
+	}
+	for _, figures := range []*[]float64{&c.pace, &c.recent, &c.usual, &c.limit, &c.credit} {
+		*figures = append(*figures, 0)
+	}
+	for _, d := range []*[]time.Duration{&c.started, &c.replyAt, &c.halvedAt, &c.errAt, &c.hereAt, &c.trialAt,
+		&c.trialGap, &c.outWork, &c.heldWork} {
+		*d = append(*d, 0)
+	}
+	c.id, c.life, c.growing = append(c.id, 0), append(c.life, Left), append(c.growing, false)
+	c.cell, c.zone = append(c.cell, 0), append(c.zone, 0)
+	c.outs, c.coldLog = append(c.outs, nil), append(c.coldLog, nil)
+	c.aside, c.errs, c.answeredAt = append(c.aside, nil), append(c.errs, nil), append(c.answeredAt, nil)
+	return replica(len(c.id) - 1)
+}
+
+// sound forgets what spoke against a replica.
+func (c *Coordinator) sound(r replica) {
+	n := len(c.tracks)
+	c.aside[r], c.errs[r], c.answeredAt[r] = make([]bool, n), make([]int, n), make([]time.Duration, n)
+	c.trialGap[r] = scale(trialFirst, c.tempo)
+}
+
 func (c *Coordinator) ListFailed(now time.Duration) {
 	c.clock(now)
 	c.subscribed = false
 	c.askAt = now + scale(c.askWait, 0.5+c.chance())
 	c.askWait = min(askMost, c.askEvery/4, 2*c.askWait)
-	c.host.Log("the list cannot be followed; asking again")
 }
 
 // follow asks to be told of changes to the list. Guards against: a list that is lost, silently or not.
@@ -392,13 +370,13 @@
 	if p == nil || int(n) >= len(p.legs) || n < 0 || p.legs[n].done {
 		return
 	}
-	l, r := p.legs[n], p.legs[n].at
+	l, r, t := p.legs[n], p.legs[n].at, p.of.track
 	l.done, l.ran = true, how != TurnedAway && how != Unreachable && how != Moot
 	c.outs[r] = slices.DeleteFunc(c.outs[r], func(o *leg) bool { return o == l })
 	c.outWork[r] -= l.work
 	switch how {
 	case Fulfilled:
-		if c.answered(r, p, l, took); r == p.of.suspect && l.sentAt > p.of.diedAt {
+		if c.answered(r, t, l, took); r == p.of.suspect && l.sentAt > p.of.diedAt {
 			p.of.deaths = 0 // it lives: the connection alone was lost
 		}
 		if !p.in && !p.gone && !p.of.ended {
@@ -406,23 +384,20 @@
 			p.of.ratio += float64(took) / float64(scale(l.base, c.pace[r])+1)
 			c.drop(p)
 		}
-	case Unreachable:
-		c.errs[r], c.errAt[r] = c.errs[r]+1, c.now
-		c.setAside(r, "cannot be reached")
-	case Reset:
-		if took >= staleTook && (p.of.diedAt != c.now || p.of.suspect != r) { // quicker: it idled
-			p.of.deaths, p.of.diedAt, p.of.suspect = p.of.deaths+1, c.now, r
-		}
-		fallthrough
-	case Erred, TimedOut, TurnedAway:
-		if how == TurnedAway {
+	case Reset, Spoilt, Erred, TimedOut, TurnedAway, Unreachable:
+		switch {
+		case how == TurnedAway:
 			c.halve(r)
+		case how == Unreachable:
+			c.setAside(r, nil, "cannot be reached")
+		case how == Reset && took >= staleTook && (p.of.diedAt != c.now || p.of.suspect != r): // quicker: it idled
+			p.of.deaths, p.of.diedAt, p.of.suspect = p.of.deaths+1, c.now, r
 		}
 		if c.errAt[r] != c.now {
-			c.errs[r]++
+			c.errs[r][t.index]++
 		}
-		if c.errAt[r] = c.now; c.errs[r] >= errorLimit {
-			c.setAside(r, "brings errors only")
+		if c.errAt[r] = c.now; c.errs[r][t.index] >= errorLimit {
+			c.setAside(r, t, "brings errors only")
 		}
 	}
 	switch {
@@ -453,8 +428,13 @@
 	return slices.ContainsFunc(p.legs, func(l *leg) bool { return !l.done })
 }
 
-func (c *Coordinator) answered(r replica, p *part, l *leg, took time.Duration) {
-	c.replyAt[r], c.errs[r] = c.now, 0
+func (c *Coordinator) answered(r replica, t *track, l *leg, took time.Duration) {
+	c.replyAt[r], c.answeredAt[r][t.index], c.errs[r][t.index] = c.now, c.now, 0
+	for _, o := range c.outs[r] {
+		if o.sentAt < l.sentAt {
+			o.passed++
+		}
+	}
 	c.credit[r] = min(maxCredit, c.credit[r]+creditReply)
 	c.copies = min(maxCopies*c.thrift, c.copies+copyReply*c.thrift)
 	took = max(min(took, scale(l.base, c.pace[r])), took-c.stalled)
@@ -467,14 +447,14 @@
 	}
 	c.pace[r] = math.Pow(c.pace[r], 1-pacePull)
 	grow := math.Exp(unitStep * max(-1, min(1, surprise)))
-	p.of.track.unit, p.of.track.hintUnit = scale(p.of.track.unit, grow), p.of.track.hintUnit*grow
+	t.unit, t.hintUnit = scale(t.unit, grow), t.hintUnit*grow
 	ratio := float64(took) / float64(l.work+c.callCost+1)
 	c.recent[r] += recentShare * (ratio - c.recent[r])
 	rise := ratio - c.usual[r]
 	c.usual[r] += usualFalls*min(0, rise) + usualRises*max(0, min(rise, c.usual[r]))
 	switch {
-	case c.aside[r]:
-		c.bringBack(r)
+	case c.aside[r][t.index]:
+		c.bringBack(r, t)
 	case c.recent[r] > climbed*max(1, c.usual[r]):
 		c.halve(r)
 	case c.growing[r]:
@@ -491,20 +471,27 @@
 	}
 }
 
-// setAside takes a replica out of the ordinary path; what is held for it is placed anew. Guards against:
-// replicas that hang, have died or cannot be reached, and bring errors only. Should also cover: cut
-// links, full connection tables. Could hurt: when all holders of a shard seem dead at once; trials go on.
-func (c *Coordinator) setAside(r replica, why string) {
-	if !c.aside[r] {
-		c.aside[r], c.limit[r], c.trialAt[r] = true, 0, c.now+c.trialGap[r]
+// setAside takes a replica out of the ordinary path, or one track there; what is held for it is placed anew.
+// Guards against: replicas that hang, have died or cannot be reached, and bring errors only. Should also
+// cover: cut links, full connection tables. Could hurt: when all holders of a shard seem dead; trials go on.
+func (c *Coordinator) setAside(r replica, only *track, why string) {
+	if !slices.Contains(c.aside[r], true) {
+		c.trialAt[r] = c.now + c.trialGap[r]
 		c.host.Log(fmt.Sprintf("replica %d is set aside: it %s", c.id[r], why))
 	}
+	for n := range c.tracks {
+		c.aside[r][n] = c.aside[r][n] || only == nil || only.index == n
+	}
 }
 
-// bringBack opens a trickle to a replica that was set aside; it doubles with each good answer.
-func (c *Coordinator) bringBack(r replica) {
-	c.aside[r], c.growing[r], c.limit[r], c.trialGap[r] = false, true, 1, trialFirst
-	c.recent[r] = min(c.recent[r], c.usual[r])
+// bringBack takes a replica back, all of it by a trickle that doubles with each good answer.
+func (c *Coordinator) bringBack(r replica, t *track) {
+	if !slices.Contains(c.aside[r], false) {
+		c.growing[r], c.limit[r] = true, 1
+		c.sound(r)
+	}
+	c.aside[r][t.index] = false
+	c.trialGap[r], c.recent[r] = scale(trialFirst, c.tempo), min(c.recent[r], c.usual[r])
 	c.host.Log(fmt.Sprintf("replica %d answers again: a trickle goes to it", c.id[r]))
 }
 
@@ -549,6 +536,9 @@
 	}
 	for r := range c.id {
 		c.watch(replica(r))
+		if c.life[r] != Left {
+			c.hereAt[r] = now
+		}
 		if len(c.outs[r]) == 0 {
 			c.pace[r] = math.Pow(c.pace[r], math.Exp(-(now-c.refilled).Seconds()/paceFades))
 		}
@@ -572,20 +562,26 @@
 
 // watch sets a replica aside that has legs out and has long been silent, if it can be spared: the last one
 // in use for a shard may be silent under the load of the others. Could hurt: when it hangs; trials find out.
+// If it answers later legs, that holds for the track alone. Guards against: replicas that hang on one sort of
+// work. Should also cover: a connection that is dead. Could hurt: heavy parts of rare tracks, for a moment.
 func (c *Coordinator) watch(r replica) {
-	if len(c.outs[r]) > 0 && !c.aside[r] {
-		l := c.outs[r][0]
-		silent := c.now - max(l.sentAt, c.replyAt[r])
-		if silent > hungAfter && silent > c.late(l, hungTimes) && c.spare(r) {
-			c.setAside(r, "has gone silent")
+	for _, l := range c.outs[r] {
+		t := l.of.of.track
+		silent, alone := c.now-max(l.sentAt, c.replyAt[r]), c.now-max(l.sentAt, c.answeredAt[r][t.index])
+		switch {
+		case c.aside[r][t.index]:
+		case l.passed >= hungPassed && alone > scale(l.base, hungTimes*c.pace[r]) && c.spare(r, t):
+			c.setAside(r, t, "answers other tracks only")
+		case l.passed == 0 && silent > scale(hungAfter, c.tempo) && silent > c.late(l, hungTimes) && c.spare(r, t):
+			c.setAside(r, nil, "has gone silent")
 		}
 	}
 }
 
-func (c *Coordinator) spare(r replica) bool {
+func (c *Coordinator) spare(r replica, t *track) bool {
 	for back := range c.reach {
 		others := c.holders(ShardNumber(int(c.cell[r]) - back + c.cells))
-		if !slices.ContainsFunc(others, func(o replica) bool { return o != r && c.sendable(o, 0) }) {
+		if !slices.ContainsFunc(others, func(o replica) bool { return o != r && c.sendable(o, t, 0) }) {
 			return false
 		}
 	}
@@ -622,7 +618,7 @@
 	switch {
 	case q.got >= need:
 		c.answer(q, q.step == 0 || q.firstWhole)
-	case c.now >= q.endAt-endMargin || q.doubtful() && (q.deaths > 1 || !c.sendable(q.suspect, 0)):
+	case c.now >= q.endAt-endMargin || q.doubtful() && (q.deaths > 1 || !c.sendable(q.suspect, q.track, 0)):
 		c.giveUp(q)
 	case c.now >= q.agreed-endMargin && c.now < q.agreed && q.got >= floor &&
 		q.track.earns*q.got/need > q.track.late:
@@ -701,8 +697,8 @@
 	}
 }
 
-func (c *Coordinator) sendable(r replica, work time.Duration) bool {
-	return c.life[r] == Active && !c.aside[r] && c.coldRoom(r, work)
+func (c *Coordinator) sendable(r replica, t *track, work time.Duration) bool {
+	return c.life[r] == Active && !c.aside[r][t.index] && c.coldRoom(r, work)
 }
 
 // holders lists the replicas that hold a shard and may be sent to, set aside or not.
@@ -729,7 +725,7 @@
 func (c *Coordinator) choose(p *part, cost func(replica) time.Duration) replica {
 	best, least := nowhere, time.Duration(math.MaxInt64)
 	for _, r := range c.holders(p.shard) {
-		if d := cost(r); d >= 0 && d < least && c.sendable(r, p.work) {
+		if d := cost(r); d >= 0 && d < least && c.sendable(r, p.of.track, p.work) {
 			best, least = r, d
 		}
 	}
@@ -743,7 +739,7 @@
 	}
 	var mine []*part
 	for _, p := range q.parts {
-		stays := p.held && p.at != nowhere && c.sendable(p.at, p.work)
+		stays := p.held && p.at != nowhere && c.sendable(p.at, q.track, p.work)
 		if p.in || p.gone || stays || !p.held && len(p.legs) > 0 {
 			continue
 		}
@@ -797,7 +793,8 @@
 			}
 			for _, r := range c.holders(p.shard) {
 				d := max(c.finish(worst, -p.work), c.finish(r, p.work))
-				if r != worst && d < least && c.sendable(r, p.work) && !p.tried(r, false) && !p.of.doubtful() {
+				if r != worst && d < least && c.sendable(r, p.of.track, p.work) && !p.tried(r, false) &&
+					!p.of.doubtful() {
 					moved, to, least = p, r, d
 				}
 			}
@@ -835,11 +832,10 @@
 // mayRepeat tells whether the rules let a further leg of a part be sent now.
 func (c *Coordinator) mayRepeat(p *part) bool {
 	first := slices.IndexFunc(p.legs, func(l *leg) bool { return l.ran || !l.done })
-	if first < 0 || p.of.track.effect == replayable {
-		return len(p.legs) < c.maxLegs
-	}
-	inWindow := p.of.track.effect == referenced && c.now < p.legs[first].sentAt+p.of.track.window
-	return inWindow && len(p.legs) < c.maxLegs
+	t := p.of.track
+	free := first < 0 || t.effect == replayable ||
+		t.effect == referenced && c.now < p.legs[first].sentAt+t.window
+	return free && len(p.legs) < c.maxLegs
 }
 
 func (c *Coordinator) short(q *retrieval) {
@@ -850,8 +846,7 @@
 
 // release sends held parts in order of their retrievals' arrival, as caps allow, and drops what is too late.
 func (c *Coordinator) release() {
-	n := len(c.id)
-	blocked, ahead := make([]bool, n), make([]time.Duration, n)
+	blocked, ahead := make([]bool, len(c.id)), make([]time.Duration, len(c.id))
 	for _, q := range c.open {
 		if q.waiting() {
 			continue
@@ -867,7 +862,7 @@
 				c.short(q)
 			case (first || r == nowhere) && c.trial(p) || r == nowhere:
 			case blocked[r] || float64(len(c.outs[r])+1) > c.limit[r] || !c.coldRoom(r, p.work) ||
-				!first && (c.credit[r] < 1 || !c.mayGoOn() || c.erring(r, c.lastLeg(p))):
+				!first && (c.credit[r] < 1 || !c.mayGoOn() || c.erring(r, q.track, c.lastLeg(p))):
 				blocked[r] = first || blocked[r]
 				ahead[r] += p.work
 			default:
@@ -889,8 +884,8 @@
 // erring tells whether a further leg waits: the replica's last brought no answer, just now or, for the last
 // leg of a part, ever. Guards against: all legs gone at once where holders are down or full. Should also
 // cover: fast errors. Could hurt: where all holders err for long.
-func (c *Coordinator) erring(r replica, last bool) bool {
-	return c.errs[r] > 0 && (last || c.now-c.errAt[r] < errorWait)
+func (c *Coordinator) erring(r replica, t *track, last bool) bool {
+	return c.errs[r][t.index] > 0 && (last || c.now-c.errAt[r] < scale(errorWait, c.tempo))
 }
 
 func (c *Coordinator) lastLeg(p *part) bool { return len(p.legs) >= c.maxLegs-1 }
@@ -945,11 +940,11 @@
 	for _, r := range c.holders(p.shard) {
 		due := c.trialAt[r]
 		if !copied && p.at != nowhere && c.mayCopy {
-			due += trialMost
+			due += scale(trialMost, c.tempo)
 		}
-		if c.aside[r] && !p.tried(r, true) && c.now >= due && c.coldRoom(r, p.work) {
+		if c.aside[r][p.of.track.index] && !p.tried(r, true) && c.now >= due && c.coldRoom(r, p.work) {
 			c.trialAt[r] = c.now + c.trialGap[r]
-			c.trialGap[r] = min(trialMost, 2*c.trialGap[r])
+			c.trialGap[r] = min(scale(trialMost, c.tempo), 2*c.trialGap[r])
 			c.send(p, r)
 			return true
 		}
@@ -968,14 +963,14 @@
 		}
 		l := p.legs[len(p.legs)-1]
 		age, many := c.now-l.sentAt, float64(len(q.parts))/fewParts
-		if l.done || age < c.late(l, patience) && !c.aside[l.at] {
+		if l.done || age < c.late(l, patience) && !c.aside[l.at][q.track.index] {
 			continue
 		}
 		best := c.choose(p, func(r replica) time.Duration {
 			d := c.finish(r, p.work)
 			if p.tried(r, true) || c.credit[r] < 1 || float64(len(c.outs[r])) >= c.limit[r] ||
-				c.erring(r, false) || d >= min(q.endAt-c.now, max(age, 2*l.base)) ||
-				!c.aside[l.at] && c.now+scale(d, copyRoom*max(1, many)) <= q.agreed {
+				c.erring(r, q.track, false) || d >= min(q.endAt-c.now, max(age, 2*l.base)) ||
+				!c.aside[l.at][q.track.index] && c.now+scale(d, copyRoom*max(1, many)) <= q.agreed {
 				return -1
 			}
 			return d
@@ -1014,11 +1009,12 @@
 // over a fresh replica. Its capacity when warm is taken as the parts that warm ones work on side by side.
 func (c *Coordinator) coldRoom(r replica, work time.Duration) bool {
 	if !c.coldFor(r) {
+		c.coldLog[r] = nil
 		return true
 	}
 	c.coldLog[r] = slices.DeleteFunc(c.coldLog[r], func(l *leg) bool { return l.sentAt < c.now-c.tipOver })
-	room := scale(c.tipOver, coldSafety*min(c.lanes, coldLanes)*c.tipMultiple*c.warmth(r))
-	room /= time.Duration(max(1, c.turns(r)))
+	share := c.tipMultiple * c.warmth(r) / float64(max(1, c.turns(r)))
+	room := scale(c.tipOver, coldSafety*min(c.lanes, coldLanes)*share)
 	for _, l := range c.coldLog[r] {
 		room -= l.work + c.callCost
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -37,6 +37,8 @@
 	m.turn()
 }
 
+func (m *model) aside(id ReplicaID) bool { return !slices.Contains(m.c.aside[m.index(id)], false) }
+
 func (m *model) index(id ReplicaID) replica { return m.c.index[id] }
 
 func TestPartsLeaveInOrderOfArrival(t *testing.T) {
@@ -105,14 +107,14 @@
 			}
 		}
 		m.turn()
-		if n == 20 && !m.c.aside[m.index(105)] {
+		if n == 20 && !m.aside(105) {
 			t.Fatalf("not set aside; its %d legs never end", len(hung))
 		}
 	}
 	r := m.index(105)
 	m.answer(ms)
-	if m.c.aside[r] || m.c.limit[r] != 1 {
-		t.Errorf("set aside %v, cap %v after it has answered", m.c.aside[r], m.c.limit[r])
+	if m.c.aside[r][0] || m.c.limit[r] != 1 {
+		t.Errorf("set aside %v, cap %v after it has answered", m.c.aside[r][0], m.c.limit[r])
 	}
 	logs := strings.Join(m.logs, "\n")
 	if !strings.Contains(logs, "has gone silent") || !strings.Contains(logs, "answers again") {
@@ -120,6 +122,60 @@
 	}
 }
 
+// A replica that hangs on one track alone is set aside for that track, though it answers the others, and no more
+// legs pile up there; its answer brings it back.
+func TestReplicaThatHangsOnOneTrackIsSetAsideForItAlone(t *testing.T) {
+	m := newModel(t, 0)
+	m.only(102, 105)
+	hung := 0
+	for range 40 {
+		m.c.pace[m.index(102)] = 3 // so that the other is preferred
+		m.ask(0, 1, 3*time.Second)
+		m.ask(2, 1, 3*time.Second)
+		m.turn()
+		m.pass(60 * ms)
+		hung = 0
+		for _, o := range m.outs() {
+			if o.p.of.track == 0 && o.p.legs[o.n].to == 105 {
+				hung++
+			} else {
+				m.end(o.p, o.n, Fulfilled)
+			}
+		}
+		m.turn()
+	}
+	r := m.index(105)
+	if !m.c.aside[r][0] || m.c.aside[r][2] || hung > 8 {
+		t.Fatalf("set aside by track: %v, %d legs hang", m.c.aside[r], hung)
+	}
+	m.answer(ms)
+	if m.c.aside[r][0] {
+		t.Error("still set aside after it has answered")
+	}
+}
+
+// Replicas that were replaced leave no figures behind, and a full list leaves those of the others alone.
+func TestFiguresOfReplacedReplicasMakeRoom(t *testing.T) {
+	m := newModel(t, 0)
+	m.c.pace[m.index(102)] = 1.5
+	for n := range 500 {
+		id := ReplicaID(1000 + n)
+		m.replicas[id] = &modelReplica{cell: n % 3, started: LongAgo}
+		m.tell(n%2 == 0, false, append(slices.Clone(m.order), id)...)
+		m.turn()
+		m.ask(0, 3, time.Second)
+		m.turn()
+		m.answer(300 * ms)
+		m.replicas[id].life, m.replicas[id].told = Left, m.now
+		m.tell(false, false, id)
+		delete(m.replicas, id)
+		m.turn()
+	}
+	if n := len(m.c.id); n > len(m.order)+30 || len(m.c.index) > n || m.c.pace[m.index(102)] == 1 {
+		t.Errorf("%d places, %d ids for %d replicas, pace %v", n, len(m.c.index), len(m.order), m.c.pace[m.index(102)])
+	}
+}
+
 // The last holder in use may be silent only because it carries the load of the others.
 func TestLastHolderIsNotSetAsideForSilence(t *testing.T) {
 	m := newModel(t, 0)
@@ -129,7 +185,7 @@
 		m.turn()
 		m.pass(100 * ms)
 	}
-	if a, b := m.c.aside[m.index(102)], m.c.aside[m.index(105)]; a == b {
+	if a, b := m.aside(102), m.aside(105); a == b {
 		t.Errorf("set aside: %v and %v", a, b)
 	}
 }
@@ -142,7 +198,7 @@
 	r := m.index(o.p.legs[o.n].to)
 	m.end(o.p, o.n, Reset)
 	m.turn()
-	if m.c.aside[r] {
+	if m.c.aside[r][0] {
 		t.Error("set aside after one dropped connection")
 	}
 	m.ask(0, 4, 3*time.Second)
@@ -151,7 +207,7 @@
 	r = m.index(o.p.legs[o.n].to)
 	m.end(o.p, o.n, Unreachable)
 	m.turn()
-	if !m.c.aside[r] {
+	if !m.c.aside[r][0] {
 		t.Error("not set aside though it cannot be reached")
 	}
 }
--- a/decide/host.go
+++ b/decide/host.go
@@ -33,6 +33,7 @@
 	Reset
 	Cancelled
 	Moot
+	Spoilt // what came for it cannot be used; the replica lives
 )
 
 // Life is what the list says of a replica.
--- a/decide/model_test.go
+++ b/decide/model_test.go
@@ -437,7 +437,7 @@
 	case 8:
 		if len(outs) > 0 {
 			o := outs[a%len(outs)]
-			m.end(o.p, o.n, []Outcome{Erred, TurnedAway, TimedOut, Unreachable, Reset, Cancelled}[b%6])
+			m.end(o.p, o.n, []Outcome{Erred, TurnedAway, TimedOut, Unreachable, Reset, Cancelled, Spoilt}[b%7])
 		}
 	case 9:
 		r := m.replicas[id]
