--- a/decide/decide.go
+++ b/decide/decide.go
@@ -565,14 +565,14 @@
 // If it answers later legs, that holds for the track alone. Guards against: replicas that hang on one sort of
 // work. Should also cover: a connection that is dead. Could hurt: heavy parts of rare tracks, for a moment.
 func (c *Coordinator) watch(r replica) {
-	for _, l := range c.outs[r] {
-		t := l.of.of.track
-		silent, alone := c.now-max(l.sentAt, c.replyAt[r]), c.now-max(l.sentAt, c.answeredAt[r][t.index])
+	for n, l := range c.outs[r] {
+		t, since := l.of.of.track, max(l.sentAt, c.replyAt[r])
+		silent, alone := c.now-since > scale(hungAfter, c.tempo), c.now-max(l.sentAt, c.answeredAt[r][t.index])
 		switch {
 		case c.aside[r][t.index]:
 		case l.passed >= hungPassed && alone > scale(l.base, hungTimes*c.pace[r]) && c.spare(r, t):
 			c.setAside(r, t, "answers other tracks only")
-		case l.passed == 0 && silent > scale(hungAfter, c.tempo) && silent > c.late(l, hungTimes) && c.spare(r, t):
+		case n == 0 && silent && c.now-since > c.late(l, hungTimes) && c.spare(r, t):
 			c.setAside(r, nil, "has gone silent")
 		}
 	}
