End bad clients in time, refuse heads whose end is in doubt, keep room for usual clients

Seen: no read of a client's connection had a limit (coordinator/client.go), so silence, half a request or a head without end were never answered; checked with a test over sockets: silence, halves, drops and a half after a whole were open after 3 s. http.ReadRequest hides Content-Length beside Transfer-Encoding and folded lines; a test with requests hidden in bodies shows it. Found by the fuzzer: a request in chunks that was split before its last empty line was refused; chunks are now read on where the last look ended.

--- a/cmd/terntray/main_test.go
+++ b/cmd/terntray/main_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -371,6 +373,95 @@
 	}
 }
 
+// Whatever a bad client does, it has an error or a close within three seconds of its connecting.
+func TestBadClientsAreEndedInTime(t *testing.T) {
+	a := newStandin(t, "s-a", 0, fulfil)
+	p, _ := deployed(t, settings, a)
+	good := query("look", "q1", 10, 3)
+	drip := func(c *client) { // a head without an end, byte by byte
+		c.send("POST /look HTTP/1.1\r\nX: ")
+		for n := 0; n < 200; n++ {
+			if _, err := io.WriteString(c.conn, "y"); err != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	a.does(func(s *standin, c call) {
+		if c.id != "open.3" {
+			fulfil(s, c)
+		}
+	})
+	c := p.connect()
+	c.send(query("look", "open", 20, 3))
+	until(t, "the part is there", func() bool { return a.saw("open.3") })
+	ended := make(chan string)
+	for name, does := range map[string]func(*client){
+		"silence":             func(*client) {},
+		"half a request":      func(c *client) { c.send(good[:len(good)-9]) },
+		"drops":               drip,
+		"half after a whole":  func(c *client) { c.send(good); c.receive(); c.send(good[:20]) },
+		"a body of 60 MB":     func(c *client) { c.send("POST /look HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n"); c.pour(60e6) },
+		"chunks without end":  func(c *client) { c.send("POST /look HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfff"); c.pour(60e6) },
+		"another one's id":    func(c *client) { c.send(query("look", "open", 10, 3)) },
+		"too many conditions": func(c *client) { c.send("POST /look HTTP/1.1\r\n" + strings.Repeat("X: y\r\n", 9000)) },
+	} {
+		go func() {
+			c := p.connect()
+			c.conn.SetDeadline(time.Now().Add(3 * time.Second))
+			does(c)
+			if _, err := io.Copy(io.Discard, c.in); errors.Is(err, os.ErrDeadlineExceeded) {
+				name += " is not ended"
+			}
+			ended <- name
+		}()
+	}
+	for range 8 {
+		if name := <-ended; strings.Contains(name, "not ended") {
+			t.Error(name)
+		}
+	}
+	for _, part := range a.seen() {
+		if part.id == "open.3" {
+			fulfil(a, part)
+		}
+	}
+	c.expect(map[int]string{3: value(a, 3)})
+}
+
+// pour sends so many bytes, or as many as are taken.
+func (c *client) pour(n int) {
+	some := []byte(strings.Repeat("y", 1<<16))
+	for ; n > 0; n -= len(some) {
+		if _, err := c.conn.Write(some); err != nil {
+			return
+		}
+	}
+}
+
+// Hundreds that say nothing leave room for usual clients, who keep their connections.
+func TestSilentCrowdLeavesRoom(t *testing.T) {
+	a := newStandin(t, "s-a", 0, fulfil)
+	r := newRoster(t, "127.0.0.1:0", a)
+	p := start(t, configure(t, r.l.Addr().String(), 256, settings, a))
+	var usual []*client
+	for n := range 20 {
+		usual = append(usual, p.connect())
+		usual[n].send(query("look", fmt.Sprint("a", n), 10, 3))
+		usual[n].expect(map[int]string{3: value(a, 3)})
+	}
+	for range 600 {
+		p.connect()
+	}
+	for n, c := range usual {
+		c.send(query("look", fmt.Sprint("b", n), 10, 3))
+		c.expect(map[int]string{3: value(a, 3)})
+		d := p.connect()
+		d.send(query("look", fmt.Sprint("c", n), 10, 3))
+		d.expect(map[int]string{3: value(a, 3)})
+	}
+}
+
 // A log that nobody reads holds up nothing.
 func TestLogThatIsNotReadHoldsUpNothing(t *testing.T) {
 	stuck := make(chan struct{})
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -13,10 +13,14 @@
 )
 
 const (
-	mostAhead  = 80 << 10               // bytes that a client may send ahead of an answer: a request and more
-	writeLimit = 10 * time.Second       // for an answer that a client does not read
-	parting    = 500 * time.Millisecond // for what a client still sends after its last answer
-	lastLook   = 5 * time.Millisecond   // for a request that crosses the end of its connection
+	mostAhead     = 80 << 10                // bytes that a client may send ahead of an answer: a request and more
+	plainRequest  = 16 << 10                // bytes; what sends more needs one of the places for large ones
+	requestWithin = 1500 * time.Millisecond // for a request to be whole, from its first byte; the first, from the start
+	idleWithin    = 2500 * time.Millisecond // between requests; from two seconds on a connection may go
+	writeLimit    = 3 * time.Second         // for an answer that a client does not read
+	parting       = 300 * time.Millisecond  // for what a client still sends after its last answer,
+	partingBytes  = 256 << 10               // and so many bytes of it at the most
+	lastLook      = 5 * time.Millisecond    // for a request that crosses the end of its connection
 )
 
 var past = time.Unix(1, 0)
@@ -27,13 +31,17 @@
 	c        *Coordinator
 	conn     net.Conn
 	requests protocol.Requests
-	busy     bool // a request is out that the other goroutine answers
-	ends     bool // the client wants the connection to end with its request
-	asked    int  // requests so far
-	warned   bool // a last look for requests is being taken
+	busy     bool      // a request is out that the other goroutine answers
+	ends     bool      // the connection ends with its answer
+	asked    int       // requests so far
+	since    time.Time // of the start, the last answer, or the first byte of what is a part of a request
+	lookEnds time.Time // of the last look before the connection goes; zero before
+	large    bool      // has one of the places for large requests
 
 	answers   chan answer
+	woken     atomic.Bool  // there is more to see to than what the client sends
 	idleSince atomic.Int64 // Unix nanoseconds, 0 while a request is out
+	known     atomic.Bool  // has brought a request
 	evicted   atomic.Bool
 	open      *retrieval // belongs to the goroutine that takes the turns
 }
@@ -44,8 +52,8 @@
 }
 
 func newClient(c *Coordinator, conn net.Conn) *client {
-	k := &client{c: c, conn: conn, answers: make(chan answer, 1)}
-	k.idleSince.Store(time.Now().UnixNano())
+	k := &client{c: c, conn: conn, answers: make(chan answer, 1), since: time.Now()}
+	k.idleSince.Store(k.since.UnixNano())
 	return k
 }
 
@@ -59,7 +67,10 @@
 }
 
 // wake has the connection's goroutine look up from its reading.
-func (k *client) wake() { k.conn.SetReadDeadline(past) }
+func (k *client) wake() {
+	k.woken.Store(true)
+	k.conn.SetReadDeadline(past)
+}
 
 // serveSafely serves the connection; should that break, it ends this connection alone, and what it has open
 // is told as left.
@@ -88,9 +99,7 @@
 		if !k.busy {
 			r, expected, err := k.requests.Next()
 			if err != nil {
-				k.c.post(func() { k.c.counts.Bad++ })
-				k.ends = true
-				k.give(answer{refuse(err, true), true})
+				k.refuse(err)
 				return
 			}
 			if expected {
@@ -102,49 +111,91 @@
 				}
 				continue
 			}
-			if (k.c.leaving.Load() || k.evicted.Load()) && k.endsIdle() {
-				return
-			}
 		}
+		if !k.roomy() {
+			return
+		}
+		limit := k.limit()
+		k.conn.SetReadDeadline(limit)
+		if k.woken.Swap(false) {
+			continue
+		}
+		had := k.requests.Waiting()
 		n, err := k.conn.Read(k.requests.Room())
-		k.requests.Filled(n)
+		if k.requests.Filled(n); had == 0 && n > 0 && k.asked > 0 {
+			k.since = time.Now()
+		}
 		switch {
 		case err == nil:
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			k.conn.SetReadDeadline(time.Time{})
-		default:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			if k.busy {
 				k.c.post(func() { k.c.clientLeaves(k) })
 			}
 			return
+		case k.busy || time.Now().Before(limit): // woken
+		case k.lookEnds.IsZero():
+			k.lookEnds = time.Now().Add(lastLook)
+		default:
+			if k.requests.Waiting() > 0 {
+				k.refuse(&protocol.Fault{Status: http.StatusRequestTimeout, Words: "the request did not come whole in time"})
+			}
+			return
 		}
 	}
 }
 
-// endsIdle tells whether a connection that is to go can do so now. What crosses its end gets a last look;
-// one that has brought no request yet, or a part of one, is waited for longer.
-func (k *client) endsIdle() bool {
-	if k.warned {
+// limit is until when the client may be silent, or its request in pieces; zero while it waits for an answer.
+// Guards against: crowds that connect and say nothing, heads without end, half requests, connections that are
+// kept for good. Should also cover: clients that vanished. Could hurt: requests that take longer than that to come.
+func (k *client) limit() time.Time {
+	if k.busy {
+		return time.Time{}
+	}
+	if !k.lookEnds.IsZero() {
+		return k.lookEnds
+	}
+	partly := k.asked == 0 || k.requests.Waiting() > 0
+	limit := k.since.Add(requestWithin)
+	switch {
+	case k.evicted.Load() || k.c.leaving.Load() && !partly:
+		return past
+	case k.c.leaving.Load():
+		limit = k.since.Add(goingOn)
+	case !partly:
+		limit = k.since.Add(idleWithin)
+	}
+	return limit
+}
+
+// roomy tells whether the client may send on: a request that is larger than most needs one of few places.
+// Guards against: many that send their largest at once, where memory is scarce. Could hurt: usual clients whose
+// requests are as large; they are told that trying again is harmless.
+func (k *client) roomy() bool {
+	if k.large || k.requests.Waiting() < plainRequest {
 		return true
 	}
-	k.warned = true
-	wait := lastLook
-	if (k.asked == 0 || k.requests.Waiting() > 0) && !k.evicted.Load() {
-		wait = goingOn
+	if k.large = k.c.front.enlarge(); !k.large {
+		k.c.post(func() { k.c.counts.Bad++ })
+		k.give(answer{protocol.TurnBackWith(0, "too many large requests", true), true})
 	}
-	k.conn.SetReadDeadline(time.Now().Add(wait))
-	return false
+	return k.large
+}
+
+// refuse answers what is no request and ends the connection: where the next one begins is in doubt.
+func (k *client) refuse(err error) bool {
+	k.c.post(func() { k.c.counts.Bad++ })
+	return k.give(answer{refuse(err, true), true})
 }
 
 // dispatch answers a request or hands it over; it tells whether the connection goes on.
 func (k *client) dispatch(r *protocol.Request, at time.Duration) bool {
 	k.asked++
 	k.ends = r.Close
+	k.known.Store(true)
 	k.idleSince.Store(0)
-	k.busy = true
+	k.busy, k.lookEnds = true, time.Time{}
 	track, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
 	_, known := k.c.tracks[track]
-	var words *protocol.Fault
 	switch {
 	case r.Path == "/up" && r.Method == http.MethodGet:
 		if !k.c.ready.Load() || k.c.leaving.Load() {
@@ -156,19 +207,15 @@
 			k.answer(refusal(http.StatusOK, k.c.counts.line(len(k.c.retrievals)), k.last()))
 		})
 	case r.Path == "/up" || r.Path == "/counters" || known && r.Method != http.MethodPost:
-		words = &protocol.Fault{Status: http.StatusMethodNotAllowed, Words: "this is for another method"}
+		return k.refuse(&protocol.Fault{Status: http.StatusMethodNotAllowed, Words: "this is for another method"})
 	case !known:
-		words = &protocol.Fault{Status: http.StatusNotFound, Words: "no track is called so"}
+		return k.refuse(&protocol.Fault{Status: http.StatusNotFound, Words: "no track is called so"})
 	}
-	if words == nil {
-		query, err := protocol.ReadQuery(r)
-		if err == nil {
-			return k.c.post(func() { k.c.arrives(k, query, at) })
-		}
-		errors.As(err, &words)
+	query, err := protocol.ReadQuery(r, k.c.longest)
+	if err != nil {
+		return k.refuse(err)
 	}
-	k.c.post(func() { k.c.counts.Bad++ })
-	return k.give(answer{refuse(words, k.last()), k.last()})
+	return k.c.post(func() { k.c.arrives(k, query, at) })
 }
 
 func refuse(err error, last bool) []byte {
@@ -184,8 +231,12 @@
 	if !k.write(a.bytes) {
 		return false
 	}
-	k.busy = false
-	k.idleSince.Store(time.Now().UnixNano())
+	k.busy, k.since = false, time.Now()
+	k.idleSince.Store(k.since.UnixNano())
+	if k.large && k.requests.Waiting() < plainRequest {
+		k.large = false
+		k.c.front.lessen()
+	}
 	if a.last {
 		k.part()
 	}
@@ -199,15 +250,16 @@
 }
 
 // part ends the connection's sending and reads what still comes, as unread bytes would have the machine
-// reset the connection and so cut off the answer.
+// reset the connection and so cut off the answer. Who sends on and on is cut off all the same.
 func (k *client) part() {
 	if half, ok := k.conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
 		return
 	}
 	k.conn.SetReadDeadline(time.Now().Add(parting))
-	rest := make([]byte, 1<<10)
-	for {
-		if _, err := k.conn.Read(rest); err != nil {
+	rest := make([]byte, 4<<10)
+	for read := 0; read < partingBytes; {
+		n, err := k.conn.Read(rest)
+		if read += n; err != nil {
 			return
 		}
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -15,7 +15,10 @@
 	"terntray/decide"
 )
 
-const bindWait = 2 * time.Second // for an address that is taken
+const (
+	bindWait     = 2 * time.Second // for an address that is taken
+	longestWaits = 10              // cut-offs of a track; a client that says it waits for longer cannot mean it
+)
 
 // Coordinator is one co-ordinator. Its fields belong to the goroutine that takes the turns, but for those
 // that say otherwise.
@@ -29,6 +32,7 @@
 	tracks  map[string]decide.TrackIndex
 	zones   map[string]decide.ZoneIndex
 	shards  int
+	longest map[string]time.Duration // by track: what a client may say that it waits
 	maxOpen int
 	counts  Counts
 
@@ -55,6 +59,7 @@
 	c := &Coordinator{
 		turns: newTurns(), deployment: d, log: to,
 		tracks:     map[string]decide.TrackIndex{},
+		longest:    map[string]time.Duration{},
 		zones:      map[string]decide.ZoneIndex{},
 		retrievals: map[decide.RequestID]*retrieval{},
 		byQuery:    map[string]*retrieval{},
@@ -64,6 +69,11 @@
 	}
 	for n, name := range d.names("lanes") {
 		c.tracks[name] = decide.TrackIndex(n)
+		cutOff, err := d.span(fmt.Sprintf("lanes.%d.deadline", n), 0)
+		if err != nil {
+			return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+		}
+		c.longest[name] = longestWaits * cutOff
 		if fetch := d.nth("familyInfo.classFetch", n); fetch != "" && fetch != "0" {
 			return nil, fmt.Errorf("ROUTER_CONFIG: setting familyInfo.classFetch: the protocol has no second step")
 		}
--- a/coordinator/front.go
+++ b/coordinator/front.go
@@ -10,7 +10,10 @@
 )
 
 const (
-	frontShare = 2                      // of the memory one part in so many may be clients' buffers
+	frontShare = 2                      // of the memory one part in so many may be clients' connections
+	plainCosts = 16 << 10               // bytes that the connection of a usual client takes
+	largeShare = 8                      // of the memory one part in so many may be large requests
+	newIdles   = 20                     // times as long as others a connection counts as idle that never asked
 	freeShare  = 10                     // of the slots one in so many is kept free, where clients are idle
 	goingOn    = 700 * time.Millisecond // after the word to end: how long clients may still come
 	sweepUp    = 50 * time.Millisecond  // for what the machine has accepted when that is over
@@ -21,33 +24,39 @@
 type front struct {
 	listener net.Listener
 	slots    chan struct{} // one for each connection
+	large    chan struct{} // one place for each request that is larger than most
 	running  sync.WaitGroup
 
 	mu      sync.Mutex
 	clients map[*client]struct{}
+	going   int // of those, told to go
 }
 
 func (f *front) start(c *Coordinator, listener net.Listener) {
 	most, limits := 1<<16, c.deployment.Limits
 	if limits.MemoryMB > 0 {
-		most = max(1, limits.MemoryMB<<20/frontShare/(2*mostAhead))
+		most = max(1, limits.MemoryMB<<20/frontShare/plainCosts)
 	}
 	if limits.Sockets > 0 {
 		most = min(most, max(2, limits.Sockets-spare-c.fleet.mostLinks))
 	}
 	f.listener, f.slots, f.clients = listener, make(chan struct{}, most), map[*client]struct{}{}
+	places := most
+	if limits.MemoryMB > 0 {
+		places = max(1, min(most, limits.MemoryMB<<20/largeShare/(2*mostAhead)))
+	}
+	f.large = make(chan struct{}, places)
 	f.running.Go(func() { f.accept(c) })
 }
 
 // accept takes connections until the listener's deadline has passed, then closes it at once: what the machine
-// takes for it later would wait in vain. With few slots left it asks the client that has been idle for
-// longest to go. Guards against: crowds of clients that keep connections and send nothing, or half a request.
-// Should also cover: descriptors that run out. Could hurt: clients that come back to a closed connection.
+// takes for it later would wait in vain. With few slots left it asks as many clients to go as keeps some free.
+// Guards against: crowds of clients that keep connections and send nothing, or half a request. Should also
+// cover: descriptors that run out. Could hurt: clients that come back to a closed connection.
 func (f *front) accept(c *Coordinator) {
 	defer f.listener.Close()
 	for {
-		if len(f.slots) >= cap(f.slots)-cap(f.slots)/freeShare-1 {
-			f.evict()
+		for len(f.slots)-f.evicting() >= cap(f.slots)-cap(f.slots)/freeShare-1 && f.evict() {
 		}
 		f.slots <- struct{}{}
 		conn, err := f.listener.Accept()
@@ -72,29 +81,64 @@
 	}
 }
 
+// enlarge takes a place for a large request, if there is one; lessen gives it back.
+func (f *front) enlarge() bool {
+	select {
+	case f.large <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (f *front) lessen() { <-f.large }
+
 // release gives a client's connection and slot back.
 func (f *front) release(k *client) {
 	k.conn.Close()
+	if k.large {
+		f.lessen()
+	}
 	f.mu.Lock()
 	delete(f.clients, k)
+	if k.evicted.Load() {
+		f.going--
+	}
 	f.mu.Unlock()
 	<-f.slots
 }
 
-func (f *front) evict() {
+func (f *front) evicting() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.going
+}
+
+// evict asks the client to go that has been idle for longest, first of all those that never asked.
+func (f *front) evict() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var longest *client
+	most, now := int64(-1), time.Now().UnixNano()
 	for k := range f.clients {
 		since := k.idleSince.Load()
-		if idle := since > 0 && !k.evicted.Load(); idle && (longest == nil || since < longest.idleSince.Load()) {
-			longest = k
+		if since == 0 || k.evicted.Load() {
+			continue
+		}
+		idle := max(0, now-since)
+		if !k.known.Load() {
+			idle *= newIdles
+		}
+		if idle > most {
+			longest, most = k, idle
 		}
 	}
 	if longest != nil {
 		longest.evicted.Store(true)
+		f.going++
 		longest.wake()
 	}
+	return longest != nil
 }
 
 // leave ends the front: idle connections at once, the rest with their answers, and the listener once no
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -51,12 +51,9 @@
 func (c *Coordinator) arrives(from *client, query *protocol.Query, at time.Duration) {
 	switch {
 	case c.byQuery[query.ID] != nil:
-		c.counts.Bad++
-		from.answer(refusal(http.StatusConflict, "a retrieval with this Req-Id is open", from.last()))
+		c.bad(from, http.StatusConflict, "a retrieval with this Req-Id is open")
 	case c.unknownShard(query) >= 0:
-		c.counts.Bad++
-		from.answer(refusal(http.StatusBadRequest,
-			fmt.Sprintf("there is no segment %d", c.unknownShard(query)), from.last()))
+		c.bad(from, http.StatusBadRequest, fmt.Sprintf("there is no segment %d", c.unknownShard(query)))
 	case c.held >= c.maxOpen:
 		c.counts.Taken++
 		c.counts.TurnedBack++
@@ -68,6 +65,13 @@
 	}
 }
 
+// bad answers what is no retrieval and ends its client's connection.
+func (c *Coordinator) bad(from *client, status int, words string) {
+	c.counts.Bad++
+	from.ends = true
+	from.answer(refusal(status, words, true))
+}
+
 func (c *Coordinator) unknownShard(query *protocol.Query) int {
 	for _, p := range query.Parts {
 		if p.Shard >= c.shards {
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -7,17 +7,19 @@
 	"fmt"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 const (
-	mostID       = 200          // bytes of a request's id
-	mostDeadline = 24 * 60 * 60 // seconds that a client may say it waits
-	sharesOff    = 0.001        // what the shares of a whole may miss 1 by: many parts, rounded to six places
-	fulfilled    = http.StatusOK
-	turnedBack   = http.StatusServiceUnavailable
+	mostID     = 200   // bytes of a request's id
+	mostHint   = 86400 // seconds of work that a client may guess
+	sharesOff  = 0.001 // what the shares of a whole may miss 1 by: many parts, rounded to six places
+	fulfilled  = http.StatusOK
+	turnedBack = http.StatusServiceUnavailable
 )
 
 // Requests cuts a client's requests out of the bytes of a connection.
@@ -40,13 +42,14 @@
 	if due, err := m.due(); err != nil || !due {
 		return nil, false, err
 	}
-	in := bytes.NewReader(m.bytes())
-	ahead := bufio.NewReader(in)
-	head, err := http.ReadRequest(ahead)
+	if err := soundHead(m.bytes()[:m.headEnd]); err != nil {
+		return nil, false, err
+	}
+	head, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(m.bytes()[:m.headEnd])))
 	if err != nil {
 		return nil, false, fault(http.StatusBadRequest, "no HTTP request: %v", err)
 	}
-	body, err := m.body(head.Body, head.ContentLength, head.TransferEncoding)
+	body, err := m.body(head.ContentLength, head.TransferEncoding)
 	if err != nil {
 		return nil, false, err
 	}
@@ -56,10 +59,49 @@
 		return nil, first, nil
 	}
 	m.told = false
-	m.done(in, ahead)
+	m.done()
 	return &Request{head.Method, head.URL.Path, head.Header, body, head.Close}, false, nil
 }
 
+// once are the fields of a head that may not stand twice, as then it would mean several things.
+var once = []string{"content-length", "transfer-encoding", "host", "req-id", "req-deadline", "expect", "connection"}
+
+// soundHead looks at a head's own bytes, as http.ReadRequest mends or hides what leaves its end in doubt. Guards
+// against: requests hidden in the body of another. Should also cover: whatever a front before this reads
+// otherwise. Could hurt: clients that fold lines or repeat fields.
+func soundHead(head []byte) error {
+	lines := strings.Split(strings.TrimRight(string(head), "\r\n"), "\n")
+	seen := map[string]string{}
+	for _, line := range lines[1:] {
+		line = strings.TrimSuffix(line, "\r")
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || name == "" || strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f }) {
+			return fault(http.StatusBadRequest, "a line of the head is no field: %.40q", line)
+		}
+		if strings.ContainsFunc(value, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
+			return fault(http.StatusBadRequest, "the field %.40q holds what no field may", name)
+		}
+		name = strings.ToLower(name)
+		if _, twice := seen[name]; twice && slices.Contains(once, name) {
+			return fault(http.StatusBadRequest, "the field %s stands twice", name)
+		}
+		seen[name] = strings.Trim(value, " \t")
+	}
+	length, measured := seen["content-length"]
+	encoding, coded := seen["transfer-encoding"]
+	switch {
+	case measured && coded:
+		return fault(http.StatusBadRequest, "both Content-Length and Transfer-Encoding")
+	case coded && !strings.EqualFold(encoding, "chunked"):
+		return fault(http.StatusBadRequest, "no other Transfer-Encoding than chunked")
+	case measured && (length == "" || strings.Trim(length, "0123456789") != ""):
+		return fault(http.StatusBadRequest, "Content-Length is no number")
+	case measured && len(strings.TrimLeft(length, "0")) > len(strconv.Itoa(mostBody)):
+		return fault(http.StatusRequestEntityTooLarge, "the body is over %d bytes", mostBody)
+	}
+	return nil
+}
+
 // Query is what a client asks for.
 type Query struct {
 	ID       string
@@ -76,45 +118,54 @@
 	Hint   time.Duration // 0: none
 }
 
-// ReadQuery makes a query of a request; an error is a Fault.
-func ReadQuery(r *Request) (*Query, error) {
+// ReadQuery makes a query of a request; longest is what its client may say that it waits, by track. An error is
+// a Fault.
+func ReadQuery(r *Request, longest map[string]time.Duration) (*Query, error) {
 	q := &Query{ID: r.Header.Get("Req-Id")}
 	q.Track, _, _ = strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
 	if !usableID(q.ID) {
 		return nil, fault(http.StatusBadRequest, "Req-Id is missing or not of 1 to %d plain characters", mostID)
 	}
-	seconds, err := strconv.ParseFloat(strings.TrimSpace(r.Header.Get("Req-Deadline")), 64)
-	if err != nil || !(seconds > 0 && seconds <= mostDeadline) {
-		return nil, fault(http.StatusBadRequest, "Req-Deadline is missing or no number of seconds above 0")
+	waits := r.Header.Get("Req-Deadline")
+	seconds, err := strconv.ParseFloat(waits, 64)
+	if err != nil || strings.Trim(waits, "0123456789.") != "" || !(seconds > 0 && seconds <= longest[q.Track].Seconds()) {
+		return nil, fault(http.StatusBadRequest, "Req-Deadline is missing, or no number of seconds that can be meant")
 	}
 	q.Deadline = time.Duration(seconds * float64(time.Second))
 	var body struct {
 		Segments []struct {
-			Segment *int     `json:"segment"`
-			Boost   *float64 `json:"boost"`
-			Work    float64  `json:"work"`
+			Segment  *int     `json:"segment"`
+			Boost    *float64 `json:"boost"`
+			Work     float64  `json:"work"`
+			Affinity *string  `json:"affinity"`
 		} `json:"segments"`
 		Text *string `json:"text"`
 	}
+	// What is no UTF-8 would reach the replicas as something else.
+	if !utf8.Valid(r.Body) {
+		return nil, fault(http.StatusBadRequest, "the body is no UTF-8")
+	}
 	if err := json.Unmarshal(r.Body, &body); err != nil {
 		return nil, fault(http.StatusBadRequest, "the body is not the JSON of a query: %v", err)
 	}
-	if len(body.Segments) == 0 || body.Text == nil {
-		return nil, fault(http.StatusBadRequest, "the query has no segments or no text")
+	if len(body.Segments) == 0 || body.Text == nil || *body.Text == "" || strings.ContainsRune(*body.Text, utf8.RuneError) {
+		return nil, fault(http.StatusBadRequest, "the query has no segments or no usable text")
 	}
 	q.Text = []byte(*body.Text)
 	seen, sum := make(map[int]bool, len(body.Segments)), 0.0
 	for n, s := range body.Segments {
-		if s.Segment == nil || s.Boost == nil || *s.Segment < 0 || *s.Boost < 0 {
+		if s.Segment == nil || s.Boost == nil || *s.Segment < 0 || !(*s.Boost > 0 && *s.Boost <= 1+sharesOff) {
 			return nil, fault(http.StatusBadRequest, "segments[%d] has no usable segment and boost", n)
 		}
+		if !(s.Work >= 0 && s.Work <= mostHint*1e6) || s.Affinity != nil && !isAffinity(*s.Affinity) {
+			return nil, fault(http.StatusBadRequest, "segments[%d] has no usable work or affinity", n)
+		}
 		if seen[*s.Segment] {
 			return nil, fault(http.StatusBadRequest, "segment %d stands twice", *s.Segment)
 		}
 		seen[*s.Segment] = true
 		sum += *s.Boost
-		hint := math.Max(0, math.Min(s.Work, mostDeadline*1e6))
-		q.Parts = append(q.Parts, QueryPart{*s.Segment, *s.Boost, time.Duration(hint) * time.Microsecond})
+		q.Parts = append(q.Parts, QueryPart{*s.Segment, *s.Boost, time.Duration(s.Work) * time.Microsecond})
 	}
 	// Shares that add up to more would let an answer pass for whole while parts are missing.
 	if math.Abs(sum-1) > sharesOff {
@@ -123,6 +174,10 @@
 	return q, nil
 }
 
+func isAffinity(s string) bool {
+	return len(s) == 16 && strings.Trim(s, "0123456789abcdefABCDEF") == ""
+}
+
 // usableID tells whether an id can stand in a line of a frame without ending it or a field of it.
 func usableID(id string) bool {
 	for _, c := range []byte(id) {
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -73,20 +73,18 @@
 	if due, err := m.due(); err != nil || !due {
 		return nil, false, err
 	}
-	in := bytes.NewReader(m.bytes())
-	ahead := bufio.NewReader(in)
-	head, err := http.ReadResponse(ahead, nil)
+	head, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(m.bytes()[:m.headEnd])), nil)
 	if err != nil {
 		return nil, false, fmt.Errorf("no HTTP response: %w", err)
 	}
 	if head.ContentLength < 0 && !slices.Contains(head.TransferEncoding, "chunked") {
 		return nil, false, fmt.Errorf("a response without a length")
 	}
-	body, err := m.body(head.Body, head.ContentLength, head.TransferEncoding)
+	body, err := m.body(head.ContentLength, head.TransferEncoding)
 	if err != nil || body == nil {
 		return nil, false, err
 	}
-	m.done(in, ahead)
+	m.done()
 	if head.StatusCode != http.StatusOK {
 		return nil, false, fmt.Errorf("status %d", head.StatusCode)
 	}
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -1,18 +1,18 @@
 package protocol
 
 import (
-	"bufio"
 	"bytes"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 )
 
 const (
 	mostHead = 16 << 10 // bytes of a message's head
 	mostBody = 64 << 10 // bytes of a body, as the protocol says
+	mostLine = 1 << 10  // bytes of the line before a chunk
 )
 
 // Fault is a message that cannot be used, with the status that says so.
@@ -31,9 +31,12 @@
 type messages struct {
 	Buffer
 	headEnd int  // once it is in
-	chunked bool // the body's length is not known before its end
 	wanted  int  // bytes that must be in before a look is worth it
 	looked  int  // bytes at the last look
+	chunked bool // the body's length is not known before its end
+	end     int  // of the chunks read so far
+	last    bool // the empty chunk is in
+	chunks  []byte
 }
 
 // due tells whether a whole message may be in.
@@ -58,9 +61,7 @@
 		return true, nil
 	}
 	if m.chunked {
-		from := max(0, m.looked-3)
-		m.looked = len(b)
-		return headEnd(b[from:]) > 0 || len(b) > m.headEnd+2*mostBody, nil
+		return m.readChunks()
 	}
 	return len(b) >= m.wanted, nil
 }
@@ -82,34 +83,82 @@
 	}
 }
 
-// body reads what follows a head; nil without an error means that more must come in first.
-func (m *messages) body(from io.Reader, length int64, encoding []string) ([]byte, error) {
+// body gives what follows a head; nil without an error means that more must come in first.
+func (m *messages) body(length int64, encoding []string) ([]byte, error) {
 	if length > mostBody {
 		return nil, fault(http.StatusRequestEntityTooLarge, "the body is over %d bytes", mostBody)
 	}
-	m.chunked = slices.Contains(encoding, "chunked")
-	m.wanted = m.headEnd + int(max(0, length))
-	if !m.chunked && len(m.bytes()) < m.wanted {
-		return nil, nil
+	if !slices.Contains(encoding, "chunked") {
+		m.wanted = m.headEnd + int(max(0, length))
+		if len(m.bytes()) < m.wanted {
+			return nil, nil
+		}
+		return append([]byte{}, m.bytes()[m.headEnd:m.wanted]...), nil
 	}
-	body, err := io.ReadAll(io.LimitReader(from, mostBody+1))
-	switch {
-	case len(body) > mostBody || err == nil && m.Waiting() > m.headEnd+2*mostBody && m.chunked:
-		return nil, fault(http.StatusRequestEntityTooLarge, "the body is over %d bytes", mostBody)
-	case errors.Is(err, io.ErrUnexpectedEOF) && m.Waiting() > m.headEnd+2*mostBody:
-		return nil, fault(http.StatusRequestEntityTooLarge, "the body's chunks are over %d bytes", 2*mostBody)
-	case errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, nil
-	case err != nil:
-		return nil, fault(http.StatusBadRequest, "the body cannot be read: %v", err)
-	case body == nil:
-		body = []byte{}
+	if !m.chunked {
+		m.chunked, m.end, m.chunks = true, m.headEnd, []byte{}
+		if whole, err := m.readChunks(); err != nil || !whole {
+			return nil, err
+		}
+	}
+	m.wanted = m.end
+	return m.chunks, nil
+}
+
+// readChunks reads on where the last look ended and tells whether the body is whole. What stands behind the last
+// chunk, and behind a chunk's length, is skipped.
+func (m *messages) readChunks() (whole bool, err error) {
+	for {
+		b := m.bytes()[m.end:]
+		if m.end-m.headEnd > 2*mostBody {
+			return false, fault(http.StatusRequestEntityTooLarge, "the body's chunks are over %d bytes", 2*mostBody)
+		}
+		n := bytes.IndexByte(b, '\n') + 1
+		if n == 0 {
+			if len(b) > mostLine {
+				return false, fault(http.StatusBadRequest, "the line of a chunk is over %d bytes", mostLine)
+			}
+			return false, nil
+		}
+		line := bytes.TrimSuffix(b[:n-1], []byte("\r"))
+		if m.last {
+			if m.end += n; len(line) == 0 {
+				return true, nil
+			}
+			continue
+		}
+		digits, _, _ := strings.Cut(string(line), ";")
+		size, err := strconv.ParseUint(strings.TrimRight(digits, " \t"), 16, 31)
+		switch {
+		case err != nil:
+			return false, fault(http.StatusBadRequest, "a chunk's length %.20q", digits)
+		case int(size) > mostBody-len(m.chunks):
+			return false, fault(http.StatusRequestEntityTooLarge, "the body is over %d bytes", mostBody)
+		case size == 0:
+			m.last = true
+			m.end += n
+			continue
+		}
+		rest := b[min(len(b), n+int(size)):]
+		ends := 0
+		switch {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			ends = 1
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			ends = 2
+		case len(rest) == 0 || len(rest) == 1 && rest[0] == '\r':
+			return false, nil
+		default:
+			return false, fault(http.StatusBadRequest, "a chunk that is longer than its length")
+		}
+		m.chunks = append(m.chunks, b[n:n+int(size)]...)
+		m.end += n + int(size) + ends
 	}
-	return body, nil
 }
 
-// done uses up a message of which so much is left unread.
-func (m *messages) done(in *bytes.Reader, ahead *bufio.Reader) {
-	m.use(m.Waiting() - in.Len() - ahead.Buffered())
-	m.headEnd, m.chunked, m.wanted, m.looked = 0, false, 0, 0
+// done uses up a message that is whole.
+func (m *messages) done() {
+	m.use(m.wanted)
+	m.headEnd, m.wanted, m.looked, m.end = 0, 0, 0, 0
+	m.chunked, m.last, m.chunks = false, false, nil
 }
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -35,6 +35,11 @@
 	return got
 }
 
+// hidden is a request with some fields and another one in what could be its body.
+func hidden(fields string) string {
+	return "POST /a HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n0\r\n\r\nPOST /b HTTP/1.1\r\nHost: x\r\n\r\n"
+}
+
 func TestRequestsWholeAndSplit(t *testing.T) {
 	const get, post = `GET /up "" close=false id=`, `POST /a "hello" close=false id=7`
 	for name, c := range map[string]struct {
@@ -43,6 +48,17 @@
 	}{
 		"no body":         {"GET /up HTTP/1.1\r\nHost: x\r\n\r\n", []string{get}},
 		"a length":        {"POST /a HTTP/1.1\r\nHost: x\r\nReq-Id: 7\r\nContent-Length: 5\r\n\r\nhello", []string{post}},
+		"both lengths":    {hidden("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"), []string{"fault 400"}},
+		"lengths twice":   {hidden("Content-Length: 5\r\nContent-Length: 5\r\n"), []string{"fault 400"}},
+		"two lengths":     {hidden("Content-Length: 5, 5\r\n"), []string{"fault 400"}},
+		"a signed length": {hidden("Content-Length: +5\r\n"), []string{"fault 400"}},
+		"a huge length":   {hidden("Content-Length: 99999999999999999999\r\n"), []string{"fault 413"}},
+		"another coding":  {hidden("Transfer-Encoding: chunked, identity\r\n"), []string{"fault 400"}},
+		"a folded line":   {hidden("Transfer-Encoding:\r\n chunked\r\n"), []string{"fault 400"}},
+		"a space before":  {hidden("Content-Length : 5\r\n"), []string{"fault 400"}},
+		"a bare return":   {hidden("X: y\rContent-Length: 5\r\n"), []string{"fault 400"}},
+		"ids twice":       {hidden("Req-Id: 7\r\nreq-id: 8\r\nContent-Length: 5\r\n"), []string{"fault 400"}},
+		"no field":        {hidden("what\r\n"), []string{"fault 400"}},
 		"bare line ends":  {"POST /a HTTP/1.1\nHost: x\nreq-id: 7\ncontent-length: 5\n\nhello", []string{post}},
 		"blank lines":     {"\r\n\r\nGET /up HTTP/1.1\r\nHost: x\r\n\r\n", []string{get}},
 		"a cut one":       {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhell", nil},
@@ -98,6 +114,9 @@
 	f.Add("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhelloGET /up HTTP/1.1\r\n\r\n", 3)
 	f.Add("POST /a HTTP/1.1\nTransfer-Encoding: chunked\n\n1\na\n0\n\nGET / HTTP/1.1\n\n", 1)
 	f.Add("\r\n\n\r\nGET", 2)
+	f.Add(hidden("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"), 9)
+	f.Add(hidden("Transfer-Encoding: chunked\r\n"), 5)
+	f.Add("0 /0 HTTP/1.1\nTrAnsfer-EnCoding: Chunked \n\r\n0\r\n\r\n", 5)
 	f.Fuzz(func(t *testing.T, text string, piece int) {
 		if len(text) > 4096 {
 			t.Skip()
@@ -110,12 +129,13 @@
 }
 
 func TestQueries(t *testing.T) {
-	const good = `{"segments":[{"segment":3,"boost":0.5,"work":9000,"affinity":"00aa"},{"segment":9,"boost":0.5}],"text":"c4\n\u00e9"}`
+	const good = `{"segments":[{"segment":3,"boost":0.5,"work":9000,"affinity":"00aa00aa00aa00aa"},{"segment":9,"boost":0.5}],"text":"c4\n\u00e9"}`
 	ask := func(id, deadline, body string) (*Query, error) {
 		h := http.Header{}
 		h.Set("Req-Id", id)
 		h.Set("Req-Deadline", deadline)
-		return ReadQuery(&Request{Method: "POST", Path: "/checkout/x", Header: h, Body: []byte(body)})
+		return ReadQuery(&Request{Method: "POST", Path: "/checkout/x", Header: h, Body: []byte(body)},
+			map[string]time.Duration{"checkout": 10 * time.Second})
 	}
 	q, err := ask("9b1f", "0.480", good)
 	if err != nil || q.Track != "checkout" || q.Deadline != 480*time.Millisecond || string(q.Text) != "c4\né" ||
@@ -133,6 +153,16 @@
 		"no number":           {"a", "soon", good},
 		"NaN":                 {"a", "NaN", good},
 		"an endless deadline": {"a", "Inf", good},
+		"hexadecimal":         {"a", "0x1p0", good},
+		"a power":             {"a", "1e0", good},
+		"a sign":              {"a", "+1", good},
+		"longer than meant":   {"a", "10.001", good},
+		"work below 0":        {"a", "1", `{"segments":[{"segment":1,"boost":1,"work":-1}],"text":"x"}`},
+		"no affinity":         {"a", "1", `{"segments":[{"segment":1,"boost":1,"affinity":"00\n"}],"text":"x"}`},
+		"a share of 0":        {"a", "1", `{"segments":[{"segment":1,"boost":1},{"segment":2,"boost":0}],"text":"x"}`},
+		"an empty text":       {"a", "1", `{"segments":[{"segment":1,"boost":1}],"text":""}`},
+		"half a character":    {"a", "1", `{"segments":[{"segment":1,"boost":1}],"text":"\ud800"}`},
+		"no UTF-8":            {"a", "1", `{"segments":[{"segment":1,"boost":1}],"text":"` + "\xff" + `"}`},
 		"no body":             {"a", "1", ""},
 		"no JSON":             {"a", "1", "{"},
 		"no segments":         {"a", "1", `{"segments":[],"text":"x"}`},
