Let a spoilt reply cost its own legs only, and send single-use legs alone

Unknown ids passed for late replies, and their own legs waited until their time was over. Now what cannot be used is told as spoilt: it may have run, the replica lives. Tests fail without it.

--- a/cmd/terntray/main_test.go
+++ b/cmd/terntray/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -212,19 +213,35 @@
 	}
 }
 
-func TestUnusableFramesCloseTheirConnectionAlone(t *testing.T) {
-	for name, rest := range map[string]string{"N": "Nwhat is this", "Y": "Yq1.3 FINE 0 -\nx", "Q": "Q", "-": "Y"} {
-		a := newStandin(t, "s-a", 0, func(s *standin, c call) { s.write(c.conn, rest[0], rest[1:]) })
+// Replies that cannot be used end their connection and reach no client; what they answer may have run. The replica
+// is no worse for it: a single-use part that comes next goes there at once.
+func TestSpoiltRepliesCloseTheirConnectionAlone(t *testing.T) {
+	for name, frame := range map[string]string{
+		"a refusal":          framed("Nwhat is this"),
+		"an unknown end":     framed("Yq1.3 FINE 0 -\nx"),
+		"no end":             framed("Yq1.3  0 -\nx"),
+		"an unknown letter":  framed("Q"),
+		"an unknown id":      framed("Yq9.3 OK 0 -\nx"),
+		"no line":            framed("Y"),
+		"no number":          framed("Yq1.3 OK nan -\nx"),
+		"too short":          "\x00\x00\x00\x03Yq1.3 OK 0 -\nx",
+		"no length":          "\x00\x00\x00\x00Yq1.3 OK 0 -\nx",
+		"too long":           "\x00\x00\x00\x20Yq1.3 OK 0 -\nx",
+		"a line without end": "\x00\x00\x20\x00Yq1.3 OK " + strings.Repeat("7", 5000),
+		"a huge value":       "\xb2\xd0\x5e\x00Yq1.3 OK 0 -\n" + strings.Repeat("x", 100000),
+		"noise":              "tL\xdc\x7f\xe8\r\n",
+	} {
+		a := newStandin(t, "s-a", 0, func(s *standin, c call) { io.WriteString(c.conn, frame) })
 		p, _ := deployed(t, settings, a)
 		c := p.connect()
 		c.send(query("claim", "q1", 10, 3))
 		if r := c.receive(); r.status != 500 {
 			t.Errorf("%s: answer %d", name, r.status)
 		}
-		if n := p.counters(); n["legs_reset"] != 1 || n["dropped"] != 1 {
+		if n := p.counters(); n["legs_spoilt"] != 1 || n["spoilt"] != 1 || n["dropped"] != 0 {
 			t.Errorf("%s: counters %v", name, n)
 		}
-		if name == "N" && !strings.Contains(p.logged(), "what is this") {
+		if name == "a refusal" && !strings.Contains(p.logged(), "what is this") {
 			t.Error("the replica's words are not in the log")
 		}
 		a.does(fulfil)
@@ -233,17 +250,55 @@
 	}
 }
 
-func TestAnswersOfOtherPartsAreDropped(t *testing.T) {
-	a := newStandin(t, "s-a", 0, func(s *standin, c call) {
-		s.reply(call{id: "nobody.1", conn: c.conn}, "OK", "x")
-		fulfil(s, c)
-		fulfil(s, c)
-	})
+func framed(rest string) string {
+	return string(binary.BigEndian.AppendUint32(nil, uint32(len(rest)))) + rest
+}
+
+// What comes right behind a sound answer is no answer to anything, and ends nothing that is sent later.
+func TestWhatComesBehindAnAnswerIsDropped(t *testing.T) {
+	for name, behind := range map[string]string{"a copy": "", "noise": "tL\xdc\x7f\xe8\r\n"} {
+		a := newStandin(t, "s-a", 0, func(s *standin, c call) {
+			fulfil(s, c)
+			if io.WriteString(c.conn, behind); behind == "" {
+				fulfil(s, c)
+			}
+		})
+		p, _ := deployed(t, settings, a)
+		c := p.connect()
+		for n := range 20 {
+			c.send(query("claim", fmt.Sprint("q", n), 10, 3))
+			c.expect(map[int]string{3: value(a, 3)})
+		}
+		if n := p.counters(); n["legs"] != 20 || n["legs_unreachable"] > 0 {
+			t.Errorf("%s: counters %v", name, n)
+		}
+	}
+}
+
+// Parts that may not run twice share no connection, so that a reply to another cannot cost them their answer.
+func TestSingleUsePartsGoAlone(t *testing.T) {
+	a := newStandin(t, "s-a", 0, silent)
 	p, _ := deployed(t, settings, a)
-	c := p.connect()
-	c.send(query("look", "q1", 10, 3))
-	c.expect(map[int]string{3: value(a, 3)})
-	until(t, "they are counted", func() bool { return p.counters()["late"] == 2 })
+	c, d := p.connect(), p.connect()
+	c.send(query("claim", "q1", 10, 3, 4))
+	until(t, "they are sent", func() bool { return len(a.seen()) == 2 })
+	d.send(query("look", "q2", 10, 5, 6))
+	until(t, "the others are sent", func() bool { return len(a.seen()) == 4 })
+	on := map[net.Conn][]string{}
+	for _, part := range a.seen() {
+		on[part.conn] = append(on[part.conn], part.id)
+	}
+	if len(on) != 3 {
+		t.Errorf("parts by connection: %v", on)
+	}
+	for _, part := range a.seen() {
+		if part.id == "q2.5" {
+			io.WriteString(part.conn, "noise")
+		} else if strings.HasPrefix(part.id, "q1") {
+			fulfil(a, part)
+		}
+	}
+	c.expect(map[int]string{3: value(a, 3), 4: value(a, 4)})
 }
 
 func TestBadRequestsAreRefusedAndTheServiceGoesOn(t *testing.T) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -33,6 +33,7 @@
 	zones   map[string]decide.ZoneIndex
 	shards  int
 	longest map[string]time.Duration // by track: what a client may say that it waits
+	single  map[string]bool          // tracks whose parts may not run twice
 	maxOpen int
 	counts  Counts
 
@@ -60,6 +61,7 @@
 		turns: newTurns(), deployment: d, log: to,
 		tracks:     map[string]decide.TrackIndex{},
 		longest:    map[string]time.Duration{},
+		single:     map[string]bool{},
 		zones:      map[string]decide.ZoneIndex{},
 		retrievals: map[decide.RequestID]*retrieval{},
 		byQuery:    map[string]*retrieval{},
@@ -74,6 +76,7 @@
 			return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
 		}
 		c.longest[name] = longestWaits * cutOff
+		c.single[name] = d.settings[fmt.Sprintf("lanes.%d.effect", n)] == "side_effect"
 		if fetch := d.nth("familyInfo.classFetch", n); fetch != "" && fetch != "0" {
 			return nil, fmt.Errorf("ROUTER_CONFIG: setting familyInfo.classFetch: the protocol has no second step")
 		}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -136,7 +136,7 @@
 		legs := k.out
 		far, _ := net.Pipe()
 		k.write(&cutOff{far, room, k})
-		c.counts.Outcomes = [8]int{}
+		c.counts.Outcomes = [9]int{}
 		c.linkEnded(k, net.ErrClosed, 0)
 		if got := c.counts.Outcomes; got[decide.Reset] != want || got[decide.Unreachable] != 3-want {
 			t.Errorf("room for %d bytes: %v, want %d legs that may have run", room, got, want)
@@ -147,6 +147,44 @@
 	}
 }
 
+// A frame is not written to a connection that the far side has closed; another connection carries its leg, and the
+// replica does not count as unreachable.
+func TestLegOnAConnectionThatWasClosedGoesOnAnother(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, _ := l.Accept()
+	far.Close()
+	for end := time.Now().Add(10 * time.Second); !hasEnded(near) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	c := made(t)
+	defer c.fleet.stop()
+	r := c.fleet.named("s-a")
+	r.addr = l.Addr().String()
+	k := newLink(c, r)
+	k.up = true
+	p := &part{of: &retrieval{query: &protocol.Query{Text: []byte("text")}}, wire: "q.1"}
+	a := &leg{part: p, link: k, waitMS: 1}
+	p.legs, k.out = []*leg{a}, []*leg{a}
+	k.queueUp(frame{leg: a})
+	k.write(near)
+	c.linkEnded(k, io.EOF, 0)
+	if a.over || a.link == k || a.link == nil || len(a.link.queue) != 1 || c.counts.Outcomes != [9]int{} {
+		t.Errorf("the leg is over: %t, outcomes %v", a.over, c.counts.Outcomes)
+	}
+	c.linkEnded(a.link, io.EOF, 0)
+	if !a.over || c.counts.Outcomes[decide.Unreachable] != 1 {
+		t.Errorf("a second connection that fails: outcomes %v", c.counts.Outcomes)
+	}
+}
+
 func TestLegThatWasNotBegunIsTakenBack(t *testing.T) {
 	c := made(t)
 	k := newLink(c, c.fleet.named("s-a"))
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -10,16 +10,17 @@
 	Full     int    // of those turned back: by the bound on what is open
 	Bad      int    // requests that were none
 	Legs     int    // sent
-	Outcomes [8]int // of legs, by how they ended
+	Outcomes [9]int // of legs, by how they ended
 	Late     int    // replies to legs that had ended
 
 	Opened, Refused, Dropped int // connections to replicas
+	Spoilt                   int // of them, ended by what came
 	Lists, ListFailures      int
 	Broken, Reloads          int
 }
 
-var outcomeNames = [8]string{
-	"ok", "erred", "turned_away", "timed_out", "unreachable", "reset", "cancelled", "moot",
+var outcomeNames = [9]string{
+	"ok", "erred", "turned_away", "timed_out", "unreachable", "reset", "cancelled", "moot", "spoilt",
 }
 
 func (n *Counts) line(open int) string {
@@ -29,6 +30,6 @@
 	for i, name := range outcomeNames {
 		s += fmt.Sprintf(" legs_%s=%d", name, n.Outcomes[i])
 	}
-	return s + fmt.Sprintf(" late=%d opened=%d refused=%d dropped=%d lists=%d list_failures=%d broken=%d reloads=%d",
-		n.Late, n.Opened, n.Refused, n.Dropped, n.Lists, n.ListFailures, n.Broken, n.Reloads)
+	return s + fmt.Sprintf(" late=%d opened=%d refused=%d dropped=%d spoilt=%d lists=%d list_failures=%d broken=%d reloads=%d",
+		n.Late, n.Opened, n.Refused, n.Dropped, n.Spoilt, n.Lists, n.ListFailures, n.Broken, n.Reloads)
 }
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -3,14 +3,20 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"terntray/internal/protocol"
 )
 
-const lastWords = time.Second // what a connection that cannot be written to may still bring
+const (
+	lastWords   = time.Second            // what a connection that cannot be written to may still bring
+	frameWithin = 100 * time.Millisecond // for a frame that has begun to come; each is sent in one go
+	recentIDs   = 128                    // ids that a connection remembers after their legs
+)
 
 // stage is how far the frame of a leg has come.
 type stage int
@@ -42,6 +48,9 @@
 	closed    bool
 	resting   bool          // a timer will look whether it has been idle for too long
 	heardAt   time.Duration // the last reply
+	spoilt    bool          // what came here cannot be used
+	single    bool          // carries a leg that may not run twice, alone
+	recent    []string      // ids of legs that nothing more is awaited of
 	doubted   bool          // nothing came for a leg that was given up: nothing new is sent here
 
 	mu    sync.Mutex
@@ -73,14 +82,22 @@
 	return nil
 }
 
-// forget lets go of a leg that nothing more is awaited of.
+// knows tells whether an id is out here or was of late.
+func (k *link) knows(wire string) bool { return k.find(wire) != nil || slices.Contains(k.recent, wire) }
+
+// forget lets go of a leg that nothing more is awaited of. Its id stays known for a while: what still comes for it
+// is no noise, and no other leg gets that id here.
 func (k *link) forget(l *leg) {
 	at := slices.Index(k.out, l)
 	if at < 0 {
 		return
 	}
+	if len(k.recent) == recentIDs {
+		k.recent = slices.Delete(k.recent, 0, 1)
+	}
+	k.recent = append(k.recent, l.part.wire)
 	if k.out = slices.Delete(k.out, at, at+1); len(k.out) == 0 {
-		k.idleSince = k.c.now
+		k.idleSince, k.single = k.c.now, false
 		if k.rest(); k.replica.left || k.doubted {
 			k.close()
 		}
@@ -140,6 +157,16 @@
 	}
 }
 
+// spoil ends a connection on which something came that cannot be used: nothing that follows can be trusted.
+func (k *link) spoil(cause error) {
+	if !k.spoilt && !k.closed {
+		k.c.counts.Spoilt++
+		k.c.log.Printf("event=spoilt replica=%s addr=%s out=%d cause=%q", k.replica.uid, k.addr, len(k.out), cause)
+		k.spoilt = true
+		k.close()
+	}
+}
+
 // close ends the connection; its goroutines give it back.
 func (k *link) close() {
 	k.closed = true
@@ -194,25 +221,52 @@
 	return cause
 }
 
+// read reads until the connection ends. Guards against: noise and lengths that do not fit, which leave a frame
+// unfinished. Should also cover: a replica that stops in the midst of one. Could hurt: large values on slow links.
 func (k *link) read(conn net.Conn) error {
-	var replies protocol.Replies
+	replies := protocol.Replies{Sizes: k.c.fleet.sizes}
+	timed, looked := false, false
 	for {
 		n, err := conn.Read(replies.Room())
 		at := k.c.since(time.Now())
 		replies.Filled(n)
-		for {
-			r, bad := replies.Next()
-			if bad != nil {
-				return bad
-			}
-			if r == nil {
-				break
+		var all []*protocol.Reply
+		r, bad := replies.Next()
+		for ; r != nil; r, bad = replies.Next() {
+			all = append(all, r)
+		}
+		partly := replies.Waiting() > 0
+		if errors.Is(err, os.ErrDeadlineExceeded) && partly && bad == nil {
+			if !looked { // it may have come while this process stood still
+				looked = true
+				conn.SetReadDeadline(time.Now().Add(lastLook))
+				continue
 			}
-			k.c.post(func() { k.c.replied(k, r, at) })
+			bad = errors.New("a frame that does not go on")
 		}
-		if err != nil {
+		if len(all) > 0 || bad != nil {
+			k.c.post(func() {
+				for _, r := range all {
+					if !k.spoilt {
+						k.c.replied(k, r, at)
+					}
+				}
+				if bad != nil {
+					k.spoil(bad)
+				}
+			})
+		}
+		switch {
+		case bad != nil:
+			return bad
+		case err != nil:
 			return err
+		case partly:
+			conn.SetReadDeadline(time.Now().Add(frameWithin))
+		case timed:
+			conn.SetReadDeadline(time.Time{})
 		}
+		timed, looked = partly, false
 	}
 }
 
@@ -262,6 +316,15 @@
 		}
 		k.queue = nil
 		k.mu.Unlock()
+		if hasEnded(conn) {
+			k.mu.Lock()
+			for _, e := range ends {
+				e.leg.stage = waiting
+			}
+			k.mu.Unlock()
+			conn.SetReadDeadline(time.Now().Add(lastWords))
+			return
+		}
 		conn.SetWriteDeadline(time.Now().Add(k.c.fleet.connectWithin))
 		n, err := conn.Write(bytes)
 		k.mu.Lock()
@@ -278,3 +341,23 @@
 		}
 	}
 }
+
+// hasEnded tells whether the far side has closed a connection, which its reader may not have been able to tell yet.
+// Guards against: frames written after that, which may then have run as far as anybody knows.
+func hasEnded(conn net.Conn) bool {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	raw.Control(func(fd uintptr) {
+		one := make([]byte, 1)
+		n, _, err := syscall.Recvfrom(int(fd), one, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return ended
+}
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -32,13 +32,14 @@
 	connectWithin, idleLimit time.Duration
 	multiplex, batch         int
 	mostLinks, links         int
-	dirty                    []*link // with frames queued in this turn
+	dirty                    []*link         // with frames queued in this turn
+	sizes                    *protocol.Sizes // of values
 	context                  context.Context
 	stop                     context.CancelFunc
 }
 
 func newFleet(d *Deployment) (fleet, error) {
-	f := fleet{all: map[decide.ReplicaID]*replica{}, mostLinks: math.MaxInt}
+	f := fleet{all: map[decide.ReplicaID]*replica{}, mostLinks: math.MaxInt, sizes: &protocol.Sizes{}}
 	f.context, f.stop = context.WithCancel(context.Background())
 	if d.Limits.Sockets > 0 {
 		f.mostLinks = max(2, (d.Limits.Sockets-spare)/fleetShare)
@@ -112,7 +113,7 @@
 	if r == nil || r.addr == "" {
 		return false
 	}
-	k := f.choose(c, r, l.part.wire)
+	k := f.choose(c, r, l)
 	if k == nil {
 		return false
 	}
@@ -120,20 +121,28 @@
 		k.rested = c.now - k.idleSince
 	}
 	k.out = append(k.out, l)
+	k.single = k.single || l.single
 	k.queueUp(frame{leg: l})
 	return true
 }
 
-// choose picks the connection for a part: one that is up, has room and does not carry the part already,
-// or one that is coming up, or a new one.
-func (f *fleet) choose(c *Coordinator, r *replica, wire string) *link {
-	var best *link
+// choose picks the connection for a leg: one that is up, has room and does not know the part's id already, or
+// one that is coming up, or a new one. A leg that may not run twice goes alone, on the one that has been idle for
+// longest. Guards against: such legs lost with a connection that others' replies spoil, or that the far side
+// closes after a reply. Could hurt: by a connection or two more to each replica.
+func (f *fleet) choose(c *Coordinator, r *replica, l *leg) *link {
+	var best, shared *link
 	for _, k := range r.links {
 		idle := len(k.out) == 0 && k.up && c.now-k.idleSince >= f.idleLimit
-		if k.addr != r.addr || k.closed || k.doubted || idle || len(k.out) >= f.multiplex || k.find(wire) != nil {
+		if k.addr != r.addr || k.closed || k.doubted || idle || len(k.out) >= f.multiplex || k.knows(l.part.wire) {
 			continue
 		}
-		if best == nil || k.up && !best.up {
+		switch {
+		case k.single || l.single && len(k.out) > 0:
+			if shared == nil || k.up && !shared.up {
+				shared = k
+			}
+		case best == nil || k.up && !best.up || l.single && k.up && k.idleSince < best.idleSince:
 			best = k
 		}
 	}
@@ -143,6 +152,9 @@
 		f.links++
 		c.drivers.Go(best.run)
 	}
+	if best == nil {
+		return shared
+	}
 	return best
 }
 
@@ -177,8 +189,9 @@
 	k.rest()
 }
 
-// linkEnded takes a connection back; both of its goroutines have ended. Legs whose last byte was written
-// may have run, the others never did.
+// linkEnded takes a connection back; both of its goroutines have ended. Legs whose last byte was written may have
+// run. The others never did: if it had been up, another one carries them, once. Guards against: a replica that
+// counts as unreachable as it has closed a connection. Could hurt: never, a second one that ends tells.
 func (c *Coordinator) linkEnded(k *link, cause error, at time.Duration) {
 	c.fleet.links--
 	k.replica.links = slices.DeleteFunc(k.replica.links, func(o *link) bool { return o == k })
@@ -186,6 +199,7 @@
 	case !k.up:
 		c.counts.Refused++
 		c.log.Printf("event=unreachable replica=%s addr=%s cause=%q", k.replica.uid, k.addr, cause)
+	case k.spoilt:
 	case len(k.out) > 0 || !k.closed:
 		c.counts.Dropped++
 		c.log.Printf("event=dropped replica=%s addr=%s out=%d cause=%q", k.replica.uid, k.addr, len(k.out), cause)
@@ -196,17 +210,24 @@
 	out := k.out
 	k.out, k.closed = nil, true
 	for _, l := range out {
-		if l.over {
-			continue
+		switch {
+		case l.over:
+		case l.stage == written && k.spoilt:
+			c.ends(l, decide.Spoilt, at-l.sentAt)
+		case l.stage == written:
+			c.ends(l, decide.Reset, at-l.sentAt)
+		case k.up && !l.moved && !k.replica.left && !l.part.of.closed && c.resend(l, k.replica):
+		default:
+			c.ends(l, decide.Unreachable, at-l.sentAt)
 		}
-		how := decide.Unreachable
-		if l.stage == written {
-			how = decide.Reset
-		}
-		c.ends(l, how, at-l.sentAt)
 	}
 }
 
+func (c *Coordinator) resend(l *leg, r *replica) bool {
+	l.moved, l.stage = true, waiting
+	return c.fleet.send(c, l, r.id)
+}
+
 // staleAfter learns from a connection that broke before anything was heard for what was written to it after a
 // rest: from now on none rests for as long. Guards against: far sides, or what lies between, that drop idle
 // connections sooner than stated, and single-use parts lost by it. Should also cover: a far side that
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -42,6 +42,8 @@
 	link   *link // nil where there was none for it
 	sentAt time.Duration
 	waitMS int64
+	single bool // it may not run twice
+	moved  bool // from a connection that ended before it was written
 	over   bool // the module has been told, or is about to be
 	stage  stage
 	ends   *timer // when its time is over
@@ -229,7 +231,8 @@
 	if timeout > 0 {
 		wait = min(wait, timeout)
 	}
-	l := &leg{part: p, number: decide.LegNumber(len(p.legs)), sentAt: c.now, waitMS: max(1, wait.Milliseconds())}
+	l := &leg{part: p, number: decide.LegNumber(len(p.legs)), sentAt: c.now, waitMS: max(1, wait.Milliseconds()),
+		single: c.single[p.of.query.Track]}
 	p.legs = append(p.legs, l)
 	c.counts.Legs++
 	switch {
@@ -283,6 +286,10 @@
 func (c *Coordinator) replied(from *link, r *protocol.Reply, at time.Duration) {
 	l := from.find(r.ID)
 	if l == nil || l.over {
+		if l == nil && !from.knows(r.ID) {
+			from.spoil(fmt.Errorf("a reply to %.60q, which is not out here", r.ID))
+			return
+		}
 		c.counts.Late++
 		from.heardAt = at
 		if l != nil {
--- a/internal/protocol/frames.go
+++ b/internal/protocol/frames.go
@@ -4,10 +4,15 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"math"
 	"strconv"
+	"sync"
 )
 
-const mostFrame = 2 * mostBody // bytes; what is longer fits into no answer
+const (
+	mostFrame = 2 * mostBody // bytes; what is longer fits into no answer
+	alikeFrom = 64           // values of one size before another size says anything
+)
 
 // End is how a replica says that a part ended.
 type End string
@@ -61,24 +66,21 @@
 }
 
 // Replies cuts a replica's frames out of the bytes of a connection.
-type Replies struct{ Buffer }
+type Replies struct {
+	Buffer
+	Sizes *Sizes // what values of all connections were like; may be nil
+}
 
 // Next gives the next reply; nil without an error means that more bytes must come in first. After an error
 // the connection is of no more use.
 func (m *Replies) Next() (*Reply, error) {
 	b := m.bytes()
-	if len(b) < 4 {
-		return nil, nil
-	}
-	length := binary.BigEndian.Uint32(b)
-	if length == 0 || length > mostFrame {
-		return nil, fmt.Errorf("a frame of %d bytes", length)
-	}
-	if uint32(len(b)-4) < length {
-		return nil, nil
+	length, err := frameLength(b)
+	if err != nil || length == 0 || len(b)-4 < length {
+		return nil, err
 	}
-	letter, rest := b[4], b[5:4+length]
-	m.use(4 + int(length))
+	letter, rest, behind := b[4], b[5:4+length], b[4+length:]
+	m.use(4 + length)
 	switch letter {
 	case 'Y':
 		line, value, ok := bytes.Cut(rest, []byte("\n"))
@@ -90,6 +92,13 @@
 		if end != OK && end != Error && end != Rejected {
 			return nil, fmt.Errorf("a reply's end %q", cut(words[1]))
 		}
+		if score, err := strconv.ParseFloat(string(words[2]), 64); err != nil || math.IsNaN(score) || math.IsInf(score, 0) {
+			return nil, fmt.Errorf("a reply's score %q", cut(words[2]))
+		}
+		_, bad := frameLength(behind)
+		if end == OK && m.Sizes.odd(len(value), bad != nil) {
+			return nil, fmt.Errorf("a value of %d bytes with what is no frame behind it", len(value))
+		}
 		return &Reply{string(words[0]), end, bytes.Clone(value)}, nil
 	case 'N':
 		return nil, fmt.Errorf("the replica could not use a frame: %q", cut(rest))
@@ -97,5 +106,45 @@
 	return nil, fmt.Errorf("a frame of letter %q", letter)
 }
 
+// frameLength is the length of the frame that begins there, 0 while that is not known.
+func frameLength(b []byte) (int, error) {
+	if len(b) < 4 {
+		return 0, nil
+	}
+	length := binary.BigEndian.Uint32(b)
+	if length == 0 || length > mostFrame {
+		return 0, fmt.Errorf("a frame of %d bytes", length)
+	}
+	return int(length), nil
+}
+
+// Sizes knows whether values have all been of one size. Guards against: a value that is cut short by a frame's
+// wrong length, whose rest then stands behind it. Could hurt: a sound value of a rare size with noise behind it.
+type Sizes struct {
+	mu    sync.Mutex
+	size  int
+	alike int // so many were of it; below 0 once another was sound
+}
+
+func (s *Sizes) odd(size int, noise bool) bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.alike == 0:
+		s.size, s.alike = size, 1
+	case s.alike < 0:
+	case size == s.size:
+		s.alike = min(s.alike+1, alikeFrom)
+	case noise && s.alike == alikeFrom:
+		return true
+	case !noise:
+		s.alike = -1
+	}
+	return false
+}
+
 // cut shortens what goes into a log.
 func cut(b []byte) []byte { return b[:min(len(b), 120)] }
