--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -23,7 +23,7 @@
 	lastLook      = 5 * time.Millisecond    // for a request that crosses the end of its connection
 )
 
-var past = time.Unix(1, 0)
+var longAgo = time.Unix(1, 0)
 
 // client is a client's connection, driven by one goroutine. It reads also while a retrieval is open, to
 // notice a client that leaves; an answer wakes it.
@@ -69,7 +69,7 @@
 // wake has the connection's goroutine look up from its reading.
 func (k *client) wake() {
 	k.woken.Store(true)
-	k.conn.SetReadDeadline(past)
+	k.conn.SetReadDeadline(longAgo)
 }
 
 // serveSafely serves the connection; should that break, it ends this connection alone, and what it has open
@@ -158,7 +158,7 @@
 	limit := k.since.Add(requestWithin)
 	switch {
 	case k.evicted.Load() || k.c.leaving.Load() && !partly:
-		return past
+		return longAgo
 	case k.c.leaving.Load():
 		limit = k.since.Add(goingOn)
 	case !partly:
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -17,6 +17,7 @@
 
 const (
 	bindWait     = 2 * time.Second // for an address that is taken
+	seldomLines  = 10              // in a second, of what replicas bring about
 	longestWaits = 10              // cut-offs of a track; a client that says it waits for longer cannot mean it
 )
 
@@ -53,6 +54,9 @@
 	drivers sync.WaitGroup
 
 	stopReading context.CancelFunc // of a configuration that is read anew
+
+	seldomAt             time.Duration // begin of the second in which lines are counted
+	seldomLeft, unlogged int
 }
 
 // New makes a co-ordinator; it opens nothing yet.
@@ -180,6 +184,21 @@
 	}
 }
 
+// seldom logs what others can bring about as often as they like: so many lines in a second, then a count.
+func (c *Coordinator) seldom(format string, args ...any) {
+	if c.now-c.seldomAt >= time.Second {
+		if c.unlogged > 0 {
+			c.log.Printf("event=more_of_these n=%d", c.unlogged)
+		}
+		c.seldomAt, c.seldomLeft, c.unlogged = c.now, seldomLines, 0
+	}
+	if c.seldomLeft--; c.seldomLeft < 0 {
+		c.unlogged++
+		return
+	}
+	c.log.Printf(format, args...)
+}
+
 // Log is the module's word for the log.
 func (c *Coordinator) Log(text string) { c.log.Printf("event=decided words=%q", text) }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -321,6 +321,66 @@
 	}
 }
 
+// Replicas that are replaced, clients and ids that are new each time leave nothing behind.
+func TestNothingGrowsWithWhatHasBeen(t *testing.T) {
+	c := made(t)
+	defer c.fleet.stop()
+	c.list.c = c
+	cell, sizes := 0, ""
+	for n := range 3000 {
+		gone := protocol.Target{UID: fmt.Sprint("s-", n-1), State: protocol.Gone}
+		next := protocol.Target{UID: fmt.Sprint("s-", n), Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell}
+		near, far := net.Pipe()
+		k := newClient(c, near)
+		query := &protocol.Query{ID: fmt.Sprint("q", n), Track: "look", Deadline: time.Second,
+			Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
+		c.turn(func() {
+			c.list.tell(&protocol.Listing{Rev: int64(n), Targets: []protocol.Target{gone, next}}, false)
+			c.arrives(k, query, c.now)
+		}, c.endTurn)
+		c.turn(func() { c.clientLeaves(k) }, c.endTurn)
+		for len(c.fleet.all) > 2 { // the last ones' connections have yet to fail
+			c.turn(<-c.inbox, c.endTurn)
+		}
+		near.Close()
+		far.Close()
+		c.born = c.born.Add(-time.Second) // time passes
+		if n%1000 == 999 {
+			now := fmt.Sprint(len(c.retrievals), len(c.byQuery), len(c.parts), len(c.list.held.Targets), len(c.timers) < 10, c.held)
+			if sizes == "" {
+				sizes = now
+			}
+			if now != sizes {
+				t.Errorf("after %d: %s, before %s", n, now, sizes)
+			}
+		}
+	}
+	if c.counts.Legs < 2000 {
+		t.Errorf("only %d legs went", c.counts.Legs)
+	}
+}
+
+// What was given up may still take a place at its replica, until it is answered or its time is over.
+func TestLegsGivenUpHoldTheirPlacesOnAConnection(t *testing.T) {
+	c := made(t)
+	k := newLink(c, c.fleet.named("s-a"))
+	for n, stage := range []stage{written, written, waiting} {
+		l := &leg{part: &part{of: &retrieval{query: &protocol.Query{}}, wire: fmt.Sprint("q.", n)}, link: k, stage: stage, waitMS: 100}
+		k.out = append(k.out, l)
+		k.forget(l, false)
+	}
+	if k.ghosts() != 2 {
+		t.Errorf("%d places are held", k.ghosts())
+	}
+	c.replied(k, &protocol.Reply{ID: "q.0", End: protocol.OK}, 0)
+	if k.ghosts() != 1 || c.counts.Late != 1 || k.closed {
+		t.Errorf("%d places are held after a late reply, closed %t", k.ghosts(), k.closed)
+	}
+	if c.now = time.Second; k.ghosts() != 0 {
+		t.Error("places are held for ever")
+	}
+}
+
 // A module that breaks costs what is open, and no more.
 func TestBrokenModuleStartsAnew(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -50,7 +50,7 @@
 	heardAt   time.Duration // the last reply
 	spoilt    bool          // what came here cannot be used
 	single    bool          // carries a leg that may not run twice, alone
-	recent    []string      // ids of legs that nothing more is awaited of
+	recent    []past        // legs that nothing more is awaited of, the last of them
 	doubted   bool          // nothing came for a leg that was given up: nothing new is sent here
 
 	mu    sync.Mutex
@@ -60,6 +60,12 @@
 	ended bool
 }
 
+// past is a leg that has left its connection: until then the replica may work on it.
+type past struct {
+	wire  string
+	until time.Duration
+}
+
 func newLink(c *Coordinator, r *replica) *link {
 	k := &link{c: c, replica: r, addr: r.addr}
 	k.more = sync.NewCond(&k.mu)
@@ -83,11 +89,31 @@
 }
 
 // knows tells whether an id is out here or was of late.
-func (k *link) knows(wire string) bool { return k.find(wire) != nil || slices.Contains(k.recent, wire) }
+func (k *link) knows(wire string) bool { return k.find(wire) != nil || k.lately(wire) != nil }
+
+func (k *link) lately(wire string) *past {
+	at := slices.IndexFunc(k.recent, func(p past) bool { return p.wire == wire })
+	if at < 0 {
+		return nil
+	}
+	return &k.recent[at]
+}
+
+// ghosts is how many legs were given up here that the replica may still work on: they hold places side by side.
+// Guards against: parts that wait unread behind them. Should also cover: a replica that hangs. Could hurt: by a
+// connection more while many are given up.
+func (k *link) ghosts() (n int) {
+	for _, p := range k.recent {
+		if p.until > k.c.now {
+			n++
+		}
+	}
+	return n
+}
 
 // forget lets go of a leg that nothing more is awaited of. Its id stays known for a while: what still comes for it
 // is no noise, and no other leg gets that id here.
-func (k *link) forget(l *leg) {
+func (k *link) forget(l *leg, answered bool) {
 	at := slices.Index(k.out, l)
 	if at < 0 {
 		return
@@ -95,7 +121,11 @@
 	if len(k.recent) == recentIDs {
 		k.recent = slices.Delete(k.recent, 0, 1)
 	}
-	k.recent = append(k.recent, l.part.wire)
+	gone := past{wire: l.part.wire}
+	if !answered && l.stage == written {
+		gone.until = l.sentAt + time.Duration(l.waitMS)*time.Millisecond
+	}
+	k.recent = append(k.recent, gone)
 	if k.out = slices.Delete(k.out, at, at+1); len(k.out) == 0 {
 		k.idleSince, k.single = k.c.now, false
 		if k.rest(); k.replica.left || k.doubted {
@@ -145,7 +175,7 @@
 // for each slow replica.
 func (k *link) giveUp(l *leg) {
 	if k.withdraw(l) {
-		k.forget(l)
+		k.forget(l, false)
 		return
 	}
 	if k.closed {
@@ -161,7 +191,7 @@
 func (k *link) spoil(cause error) {
 	if !k.spoilt && !k.closed {
 		k.c.counts.Spoilt++
-		k.c.log.Printf("event=spoilt replica=%s addr=%s out=%d cause=%q", k.replica.uid, k.addr, len(k.out), cause)
+		k.c.seldom("event=spoilt replica=%s addr=%s out=%d cause=%q", k.replica.uid, k.addr, len(k.out), cause)
 		k.spoilt = true
 		k.close()
 	}
--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -143,11 +143,12 @@
 func (l *list) calls(ctx context.Context, host string, tell func(*protocol.Listing)) error {
 	var conn net.Conn
 	var answers protocol.Listings
-	defer func() {
+	release := func() {
 		if conn != nil {
 			conn.Close()
 		}
-	}()
+	}
+	defer func() { release() }()
 	request, wait, rev := protocol.WholeList(host), time.Duration(0), int64(0)
 	for {
 		if conn == nil {
@@ -157,7 +158,11 @@
 				return err
 			}
 			answers = protocol.Listings{}
-			defer stopWith(ctx, conn)()
+			now, forget := conn, stopWith(ctx, conn)
+			release = func() {
+				forget()
+				now.Close()
+			}
 		}
 		conn.SetDeadline(time.Now().Add(wait + answersIn))
 		if _, err := conn.Write(request); err != nil {
@@ -168,8 +173,8 @@
 			return err
 		}
 		if last {
-			conn.Close()
-			conn = nil
+			release()
+			conn, release = nil, func() {}
 		}
 		if !told.All && (wait == 0 || told.Rev < rev) {
 			return fmt.Errorf("changes of revision %d after %d", told.Rev, rev)
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -82,6 +82,14 @@
 			k.close()
 		}
 	}
+	c.fleet.unlist(r)
+}
+
+// unlist lets go of a replica that is gone once nothing connects it to this process.
+func (f *fleet) unlist(r *replica) {
+	if r.left && len(r.links) == 0 && f.all[r.id] == r {
+		delete(f.all, r.id)
+	}
 }
 
 // takeBack takes back what has not been begun for a replica that wants nothing new; it never ran.
@@ -89,7 +97,7 @@
 	for _, k := range r.links {
 		for _, l := range slices.Clone(k.out) {
 			if !l.over && k.withdraw(l) {
-				k.forget(l)
+				k.forget(l, false)
 				c.tell(l, decide.TurnedAway)
 			}
 		}
@@ -134,7 +142,7 @@
 	var best, shared *link
 	for _, k := range r.links {
 		idle := len(k.out) == 0 && k.up && c.now-k.idleSince >= f.idleLimit
-		if k.addr != r.addr || k.closed || k.doubted || idle || len(k.out) >= f.multiplex || k.knows(l.part.wire) {
+		if k.addr != r.addr || k.closed || k.doubted || idle || len(k.out)+k.ghosts() >= f.multiplex || k.knows(l.part.wire) {
 			continue
 		}
 		switch {
@@ -195,14 +203,15 @@
 func (c *Coordinator) linkEnded(k *link, cause error, at time.Duration) {
 	c.fleet.links--
 	k.replica.links = slices.DeleteFunc(k.replica.links, func(o *link) bool { return o == k })
+	defer c.fleet.unlist(k.replica)
 	switch {
 	case !k.up:
 		c.counts.Refused++
-		c.log.Printf("event=unreachable replica=%s addr=%s cause=%q", k.replica.uid, k.addr, cause)
+		c.seldom("event=unreachable replica=%s addr=%s cause=%q", k.replica.uid, k.addr, cause)
 	case k.spoilt:
 	case len(k.out) > 0 || !k.closed:
 		c.counts.Dropped++
-		c.log.Printf("event=dropped replica=%s addr=%s out=%d cause=%q", k.replica.uid, k.addr, len(k.out), cause)
+		c.seldom("event=dropped replica=%s addr=%s out=%d cause=%q", k.replica.uid, k.addr, len(k.out), cause)
 	}
 	if len(k.out) > 0 && !k.closed {
 		c.fleet.staleAfter(k)
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -158,7 +158,7 @@
 				c.tell(l, decide.Cancelled)
 			}
 			if l.over && l.link != nil {
-				l.link.forget(l)
+				l.link.forget(l, false)
 			}
 		}
 		c.clear(p)
@@ -277,7 +277,7 @@
 		l.part.wire, l.number, l.link.uid(), outcomeNames[how], took)
 	c.module.LegEnds(c.now, l.part.id, l.number, how, took)
 	if l.part.of.closed && l.link != nil {
-		l.link.forget(l)
+		l.link.forget(l, false)
 	}
 	c.clear(l.part)
 }
@@ -286,18 +286,21 @@
 func (c *Coordinator) replied(from *link, r *protocol.Reply, at time.Duration) {
 	l := from.find(r.ID)
 	if l == nil || l.over {
-		if l == nil && !from.knows(r.ID) {
+		late := from.lately(r.ID)
+		if l == nil && late == nil {
 			from.spoil(fmt.Errorf("a reply to %.60q, which is not out here", r.ID))
 			return
 		}
 		c.counts.Late++
 		from.heardAt = at
 		if l != nil {
-			from.forget(l)
+			from.forget(l, true)
+		} else {
+			late.until = 0
 		}
 		return
 	}
-	from.forget(l)
+	from.forget(l, true)
 	from.heardAt = at
 	how := decide.Erred
 	switch r.End {
