Copy passed legs at once, judge no client that leaves, spread legs over connections

Checked with a trace leg by leg: connections fell silent under replicas that live, each with up to 32 legs; copies waited until little time was left; clients that left (9%) counted as late, so the module tightened what it lets in until it turned two thirds back. Lines at fault: ClientLeaves() judged the retrieval; further() waited for late() and copyRoom whatever later legs told; choose() in coordinator/replicas.go filled the first connection, and giveUp() alone could doubt one.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -71,7 +71,7 @@
 		byQuery:    map[string]*retrieval{},
 		parts:      map[decide.RequestID]*part{},
 
-		stopReading: func() {},
+		stopReading: func() {}, seldomLeft: seldomLines,
 	}
 	for n, name := range d.names("lanes") {
 		c.tracks[name] = decide.TrackIndex(n)
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -360,6 +360,49 @@
 	}
 }
 
+// A connection that stays silent while later legs are answered on another gets no further leg.
+func TestConnectionThatLaterLegsHavePassedIsInDoubt(t *testing.T) {
+	c := made(t)
+	r := c.fleet.named("s-a")
+	dead, alive := newLink(c, r), newLink(c, r)
+	dead.up, alive.up, r.links = true, true, []*link{dead, alive}
+	part := func(n int) *part {
+		return &part{of: &retrieval{query: &protocol.Query{}}, wire: fmt.Sprint("q.", n)}
+	}
+	dead.out = []*leg{{part: part(0), link: dead, stage: written, sentAt: time.Second}}
+	for n := range mostPassed {
+		if dead.doubted {
+			t.Fatalf("in doubt after %d", n)
+		}
+		c.now = time.Duration(n+2) * time.Second
+		l := &leg{part: part(n + 1), link: alive, stage: written, sentAt: c.now}
+		alive.out = []*leg{l}
+		c.parts[l.part.id] = l.part
+		c.replied(alive, &protocol.Reply{ID: l.part.wire, End: protocol.OK}, c.now)
+	}
+	if got := c.fleet.choose(c, r, &leg{part: part(99)}); !dead.doubted || got != alive {
+		t.Errorf("in doubt %t, chosen %v", dead.doubted, got == alive)
+	}
+}
+
+// Few legs share a connection as long as there are descriptors for more.
+func TestLegsAreSpreadOverConnections(t *testing.T) {
+	c := made(t)
+	defer c.fleet.stop()
+	r := c.fleet.named("s-a")
+	c.fleet.mostLinks = 3
+	for n := range 5 * fewLegs {
+		l := &leg{part: &part{of: &retrieval{query: &protocol.Query{}}, wire: fmt.Sprint("q.", n)}}
+		k := c.fleet.choose(c, r, l)
+		k.out = append(k.out, l)
+	}
+	for _, k := range r.links {
+		if len(r.links) != 3 || len(k.out) < fewLegs || len(k.out) > 3*fewLegs {
+			t.Errorf("%d connections, one with %d legs", len(r.links), len(k.out))
+		}
+	}
+}
+
 // What was given up may still take a place at its replica, until it is answered or its time is over.
 func TestLegsGivenUpHoldTheirPlacesOnAConnection(t *testing.T) {
 	c := made(t)
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -16,6 +16,7 @@
 	lastWords   = time.Second            // what a connection that cannot be written to may still bring
 	frameWithin = 100 * time.Millisecond // for a frame that has begun to come; each is sent in one go
 	recentIDs   = 128                    // ids that a connection remembers after their legs
+	mostPassed  = 8                      // replies elsewhere to later legs that put a silent connection in doubt
 )
 
 // stage is how far the frame of a leg has come.
@@ -48,6 +49,7 @@
 	closed    bool
 	resting   bool          // a timer will look whether it has been idle for too long
 	heardAt   time.Duration // the last reply
+	passed    int           // replies on other connections to legs sent after what waits here, since then
 	spoilt    bool          // what came here cannot be used
 	single    bool          // carries a leg that may not run twice, alone
 	recent    []past        // legs that nothing more is awaited of, the last of them
@@ -88,6 +90,22 @@
 	return nil
 }
 
+// heard notes that a reply to a leg came here. Other connections to the same replica that have been silent since before
+// that leg was sent come into doubt with it: nothing new is sent there. Guards against: connections that fall silent
+// under a replica that lives. Should also cover: what a replica does not read any more. Could hurt: by a connection
+// opened anew after heavy parts.
+func (k *link) heard(l *leg, at time.Duration) {
+	k.heardAt, k.passed = at, 0
+	for _, o := range k.replica.links {
+		if o == k || len(o.out) == 0 || o.out[0].sentAt >= l.sentAt || o.heardAt >= l.sentAt {
+			continue
+		}
+		if o.passed++; o.passed >= mostPassed {
+			o.doubted = true
+		}
+	}
+}
+
 // knows tells whether an id is out here or was of late.
 func (k *link) knows(wire string) bool { return k.find(wire) != nil || k.lately(wire) != nil }
 
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -14,6 +14,7 @@
 
 const (
 	spare      = 24 // descriptors for all that is no connection of a client or to a replica
+	fewLegs    = 4  // on a connection before another is opened, where descriptors allow: they share its fate
 	fleetShare = 3  // of the others one in so many may be a connection to a replica
 )
 
@@ -134,27 +135,32 @@
 	return true
 }
 
-// choose picks the connection for a leg: one that is up, has room and does not know the part's id already, or
-// one that is coming up, or a new one. A leg that may not run twice goes alone, on the one that has been idle for
+// choose picks the connection for a leg: of those that are up, have room and do not know the part's id already the
+// one with fewest legs, or one that is coming up; a new one if all have a few, as long as this replica has no more
+// than its part of them. A leg that may not run twice goes alone, on the one that has been idle for
 // longest. Guards against: such legs lost with a connection that others' replies spoil, or that the far side
 // closes after a reply. Could hurt: by a connection or two more to each replica.
 func (f *fleet) choose(c *Coordinator, r *replica, l *leg) *link {
 	var best, shared *link
 	for _, k := range r.links {
 		idle := len(k.out) == 0 && k.up && c.now-k.idleSince >= f.idleLimit
-		if k.addr != r.addr || k.closed || k.doubted || idle || len(k.out)+k.ghosts() >= f.multiplex || k.knows(l.part.wire) {
+		if k.addr != r.addr || k.closed || k.doubted || idle || len(k.out)+k.ghosts() >= f.multiplex ||
+			k.knows(l.part.wire) {
 			continue
 		}
-		switch {
-		case k.single || l.single && len(k.out) > 0:
-			if shared == nil || k.up && !shared.up {
+		if k.single || len(k.out) >= fewLegs || l.single && len(k.out) > 0 {
+			if shared == nil || k.up && !shared.up || k.up == shared.up && len(k.out) < len(shared.out) {
 				shared = k
 			}
-		case best == nil || k.up && !best.up || l.single && k.up && k.idleSince < best.idleSince:
+			continue
+		}
+		if best == nil || k.up && !best.up || k.up == best.up && (len(k.out) > len(best.out) ||
+			l.single && k.idleSince < best.idleSince) {
 			best = k
 		}
 	}
-	if best == nil && (f.links < f.mostLinks || f.closeIdle()) {
+	part := len(r.links) < max(2, f.mostLinks/max(1, len(f.all)))
+	if best == nil && (f.links < f.mostLinks && (part || shared == nil) || shared == nil && f.closeIdle()) {
 		best = newLink(c, r)
 		r.links = append(r.links, best)
 		f.links++
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -292,7 +292,7 @@
 			return
 		}
 		c.counts.Late++
-		from.heardAt = at
+		from.heardAt, from.passed = at, 0
 		if l != nil {
 			from.forget(l, true)
 		} else {
@@ -301,7 +301,7 @@
 		return
 	}
 	from.forget(l, true)
-	from.heardAt = at
+	from.heard(l, at)
 	how := decide.Erred
 	switch r.End {
 	case protocol.OK:
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,9 +1,8 @@
 package decide
 
-// How this is called: New is handed the host and the settings when a co-ordinator starts; after that
-// one method is called for each thing that happens, and TurnEnds once all that has come in at one time
-// is told. Decisions are made in TurnEnds and carried out through the Host, which stands in host.go
-// together with the id types. docs/design.md tells the mechanism and where it departs from its source.
+// How this is called: New is handed the host and the settings; after that one method is called for each
+// thing that happens, and TurnEnds, which decides, once all that has come in at one time is told. It acts
+// through the Host in host.go. docs/design.md tells the mechanism and its departures.
 
 import (
 	"cmp"
@@ -129,7 +128,7 @@
 	id                                             RequestID
 	number                                         RetrievalNumber
 	track                                          *track
-	arrived, agreed, endAt, firstAt                time.Duration // firstAt: when its first leg went
+	arrived, agreed, endAt                         time.Duration
 	parts                                          []*part
 	due, step                                      int
 	got                                            float64 // weight of the parts that are in
@@ -343,10 +342,9 @@
 	q.agreed = now + min(t.agreed+scale(hint, t.stretch), t.cutOff, left)
 	c.open = append(c.open, q)
 	c.byID[id], c.byNum[number] = q, q
-	if int(tenant) < len(c.quota) {
-		if q.overShare = c.allowance[tenant] < 1; !q.overShare {
-			c.allowance[tenant]--
-		}
+	known := int(tenant) < len(c.quota)
+	if q.overShare = known && c.allowance[tenant] < 1; known && !q.overShare {
+		c.allowance[tenant]--
 	}
 	c.taken = append(c.taken, now)
 }
@@ -495,10 +493,11 @@
 	c.host.Log(fmt.Sprintf("replica %d answers again: a trickle goes to it", c.id[r]))
 }
 
-// ClientLeaves tells that nobody waits for a retrieval any more.
+// ClientLeaves tells that nobody waits for a retrieval any more; that it was not fulfilled then says nothing.
 func (c *Coordinator) ClientLeaves(now time.Duration, id RequestID) {
 	c.clock(now)
 	if q := c.byID[id]; q != nil {
+		q.judged = true
 		c.end(q, false)
 	}
 }
@@ -560,24 +559,29 @@
 	}
 }
 
-// watch sets a replica aside that has legs out and has long been silent, if it can be spared: the last one
-// in use for a shard may be silent under the load of the others. Could hurt: when it hangs; trials find out.
-// If it answers later legs, that holds for the track alone. Guards against: replicas that hang on one sort of
-// work. Should also cover: a connection that is dead. Could hurt: heavy parts of rare tracks, for a moment.
+// watch sets a replica aside that has legs out and has long been silent, or a track that alone gets no
+// answers there, if it can be spared: the last holder may be silent under the load of others. Guards against:
+// replicas that hang, on all or one sort of work. Could hurt: heavy parts of a rare track, until an answer.
 func (c *Coordinator) watch(r replica) {
 	for n, l := range c.outs[r] {
-		t, since := l.of.of.track, max(l.sentAt, c.replyAt[r])
-		silent, alone := c.now-since > scale(hungAfter, c.tempo), c.now-max(l.sentAt, c.answeredAt[r][t.index])
+		t, silent := l.of.of.track, c.now-max(l.sentAt, c.replyAt[r])
 		switch {
 		case c.aside[r][t.index]:
-		case l.passed >= hungPassed && alone > scale(l.base, hungTimes*c.pace[r]) && c.spare(r, t):
+		case c.stuck(l) && c.answeredAt[r][t.index] < l.sentAt && c.spare(r, t):
 			c.setAside(r, t, "answers other tracks only")
-		case n == 0 && silent && c.now-since > c.late(l, hungTimes) && c.spare(r, t):
+		case n == 0 && silent > scale(hungAfter, c.tempo) && silent > c.late(l, hungTimes) && c.spare(r, t):
 			c.setAside(r, nil, "has gone silent")
 		}
 	}
 }
 
+// stuck tells whether a leg can be given up for dead: later ones are answered there, or its track is set
+// aside. Guards against: connections that fall silent, lost parts. Could hurt: by copies of heavy parts.
+func (c *Coordinator) stuck(l *leg) bool {
+	return c.aside[l.at][l.of.of.track.index] ||
+		l.passed >= hungPassed && c.now-l.sentAt > scale(l.base, hungTimes*c.pace[l.at])
+}
+
 func (c *Coordinator) spare(r replica, t *track) bool {
 	for back := range c.reach {
 		others := c.holders(ShardNumber(int(c.cell[r]) - back + c.cells))
@@ -833,9 +837,8 @@
 func (c *Coordinator) mayRepeat(p *part) bool {
 	first := slices.IndexFunc(p.legs, func(l *leg) bool { return l.ran || !l.done })
 	t := p.of.track
-	free := first < 0 || t.effect == replayable ||
-		t.effect == referenced && c.now < p.legs[first].sentAt+t.window
-	return free && len(p.legs) < c.maxLegs
+	return len(p.legs) < c.maxLegs && (first < 0 || t.effect == replayable ||
+		t.effect == referenced && c.now < p.legs[first].sentAt+t.window)
 }
 
 func (c *Coordinator) short(q *retrieval) {
@@ -878,7 +881,7 @@
 // sees too few deaths to be warned. Could hurt: by some steps while replicas are busy.
 func (c *Coordinator) scouting(q *retrieval) bool {
 	return q.in < 1+2*q.deaths && len(q.parts) > scoutsMany && c.unseen > 1 && q.sent > 0 &&
-		q.sent >= math.Exp2(math.Floor(float64(c.now-q.firstAt)/float64(scoutStep)))
+		q.sent >= math.Exp2(math.Floor(float64(c.now-q.arrived)/float64(scoutStep)))
 }
 
 // erring tells whether a further leg waits: the replica's last brought no answer, just now or, for the last
@@ -912,9 +915,7 @@
 	base := p.work + c.callCost + scale(c.outWork[r], 1/c.lanes)
 	l := &leg{of: p, at: r, sentAt: c.now, base: base, work: p.work}
 	p.legs, c.outs[r] = append(p.legs, l), append(c.outs[r], l)
-	if p.of.sent++; p.of.sent == 1 {
-		p.of.firstAt = c.now
-	}
+	p.of.sent++
 	c.outWork[r] += p.work
 	if len(p.legs) > 1 {
 		c.extras, c.credit[r] = append(c.extras, c.now), c.credit[r]-1
@@ -963,14 +964,14 @@
 		}
 		l := p.legs[len(p.legs)-1]
 		age, many := c.now-l.sentAt, float64(len(q.parts))/fewParts
-		if l.done || age < c.late(l, patience) && !c.aside[l.at][q.track.index] {
+		if l.done || age < c.late(l, patience) && !c.stuck(l) {
 			continue
 		}
 		best := c.choose(p, func(r replica) time.Duration {
 			d := c.finish(r, p.work)
 			if p.tried(r, true) || c.credit[r] < 1 || float64(len(c.outs[r])) >= c.limit[r] ||
 				c.erring(r, q.track, false) || d >= min(q.endAt-c.now, max(age, 2*l.base)) ||
-				!c.aside[l.at][q.track.index] && c.now+scale(d, copyRoom*max(1, many)) <= q.agreed {
+				!c.stuck(l) && c.now+scale(d, copyRoom*max(1, many)) <= q.agreed {
 				return -1
 			}
 			return d
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -154,6 +154,45 @@
 	}
 }
 
+// A leg that later ones have passed is copied at once, though most of its retrieval is out and time is left.
+func TestLegThatLaterOnesHavePassedIsCopied(t *testing.T) {
+	m := newModel(t, 0)
+	m.only(102, 105)
+	m.c.pace[m.index(102)] = 3
+	q := m.ask(0, 1, 3*time.Second)
+	m.turn()
+	for range 12 {
+		m.ask(0, 1, 3*time.Second)
+		m.turn()
+		m.pass(40 * ms)
+		for _, o := range m.outs() {
+			if o.p.of != q {
+				m.end(o.p, o.n, Fulfilled)
+			}
+		}
+		m.turn()
+	}
+	if legs := q.parts[0].legs; len(legs) != 2 {
+		t.Errorf("%d legs after %v", len(legs), m.now-legs[0].at)
+	}
+}
+
+// Clients that leave early say nothing of how long retrievals take.
+func TestClientsThatLeaveTurnNobodyBack(t *testing.T) {
+	m := newModel(t, 0)
+	for range 40 {
+		q := m.ask(0, 1, 3*time.Second)
+		m.turn()
+		m.pass(10 * ms)
+		q.ended = true
+		m.c.ClientLeaves(m.now, q.id)
+		m.turn()
+	}
+	if m.turnedBack > 0 || m.c.tracks[0].longer > 1 {
+		t.Errorf("%d turned back, expected to take %v times as long", m.turnedBack, m.c.tracks[0].longer)
+	}
+}
+
 // Replicas that were replaced leave no figures behind, and a full list leaves those of the others alone.
 func TestFiguresOfReplacedReplicasMakeRoom(t *testing.T) {
 	m := newModel(t, 0)
