Take broken connections of living replicas for no deaths and trust no rested ones blindly

Ruled out: late writes to connections whose end was known (none moved). Lines at fault: choose() trusted any rested connection after one had broken; linkEnded() told a reset though others to the same replica were up. The test fails without it.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -402,6 +402,48 @@
 	}
 }
 
+// Once rested connections have broken at their next use, legs that may not run twice go on new ones; and a connection
+// that breaks while another to its replica is up is not the replica's death.
+func TestRestedConnectionsThatBreakAreNoDeathsAndNotTrusted(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c := made(t)
+	defer c.fleet.stop()
+	r := c.fleet.named("s-a")
+	r.addr = l.Addr().String()
+	up := func() *link {
+		k := newLink(c, r)
+		if k.conn, err = net.Dial("tcp", r.addr); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { k.conn.Close() })
+		k.up, r.links = true, append(r.links, k)
+		return k
+	}
+	part := &part{of: &retrieval{query: &protocol.Query{}}, wire: "q.1"}
+	rested, other := up(), up()
+	single := &leg{part: part, single: true, stage: written}
+	if k := c.fleet.choose(c, r, single); !k.up {
+		t.Error("a rested connection is not used though none has broken")
+	}
+	rested.out, rested.rested = []*leg{{part: part, link: rested, stage: written}}, time.Second
+	c.linkEnded(rested, net.ErrClosed, 0)
+	if got := c.counts.Outcomes; got[decide.Spoilt] != 1 || got[decide.Reset] != 0 {
+		t.Errorf("outcomes %v", got)
+	}
+	if k := c.fleet.choose(c, r, single); k.up {
+		t.Error("a single-use leg goes on a rested connection")
+	}
+	other.out = []*leg{{part: part, link: other, stage: written}}
+	c.linkEnded(other, net.ErrClosed, 0)
+	if got := c.counts.Outcomes; got[decide.Reset] != 1 {
+		t.Errorf("outcomes %v once no connection is up", got)
+	}
+}
+
 // What was given up may still take a place at its replica, until it is answered or its time is over.
 func TestLegsGivenUpHoldTheirPlacesOnAConnection(t *testing.T) {
 	c := made(t)
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -140,13 +140,14 @@
 		k.recent = slices.Delete(k.recent, 0, 1)
 	}
 	gone := past{wire: l.part.wire}
-	if !answered && l.stage == written {
+	if !answered && k.stageOf(l) == written {
 		gone.until = l.sentAt + time.Duration(l.waitMS)*time.Millisecond
 	}
 	k.recent = append(k.recent, gone)
 	if k.out = slices.Delete(k.out, at, at+1); len(k.out) == 0 {
+		once := k.single && k.c.now < k.c.fleet.staleUntil
 		k.idleSince, k.single = k.c.now, false
-		if k.rest(); k.replica.left || k.doubted {
+		if k.rest(); k.replica.left || k.doubted || once {
 			k.close()
 		}
 	}
@@ -174,6 +175,12 @@
 	k.c.fleet.dirty = append(k.c.fleet.dirty, k)
 }
 
+func (k *link) stageOf(l *leg) stage {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return l.stage
+}
+
 // withdraw takes back a leg whose frame has not been begun.
 func (k *link) withdraw(l *leg) bool {
 	k.mu.Lock()
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	spare      = 24 // descriptors for all that is no connection of a client or to a replica
-	fewLegs    = 4  // on a connection before another is opened, where descriptors allow: they share its fate
-	fleetShare = 3  // of the others one in so many may be a connection to a replica
+	spare      = 24               // descriptors for all that is no connection of a client or to a replica
+	fewLegs    = 4                // on a connection before another is opened, where descriptors allow: they share its fate
+	staleFor   = 10 * time.Second // after a rested connection broke at its next use, legs that may not run twice get new ones
+	fleetShare = 3                // of the others one in so many may be a connection to a replica
 )
 
 // replica is one as discovery lists it, with the connections to it.
@@ -35,6 +36,7 @@
 	mostLinks, links         int
 	dirty                    []*link         // with frames queued in this turn
 	sizes                    *protocol.Sizes // of values
+	staleUntil               time.Duration   // rested connections are not trusted
 	context                  context.Context
 	stop                     context.CancelFunc
 }
@@ -138,17 +140,18 @@
 // choose picks the connection for a leg: of those that are up, have room and do not know the part's id already the
 // one with fewest legs, or one that is coming up; a new one if all have a few, as long as this replica has no more
 // than its part of them. A leg that may not run twice goes alone, on the one that has been idle for
-// longest. Guards against: such legs lost with a connection that others' replies spoil, or that the far side
+// longest, or on a new one while rested ones have proven to break at their next use. Guards against: such legs lost with a connection that others' replies spoil, or that the far side
 // closes after a reply. Could hurt: by a connection or two more to each replica.
 func (f *fleet) choose(c *Coordinator, r *replica, l *leg) *link {
 	var best, shared *link
+	fresh := l.single && c.now < f.staleUntil
 	for _, k := range r.links {
 		idle := len(k.out) == 0 && k.up && c.now-k.idleSince >= f.idleLimit
 		if k.addr != r.addr || k.closed || k.doubted || idle || len(k.out)+k.ghosts() >= f.multiplex ||
 			k.knows(l.part.wire) {
 			continue
 		}
-		if k.single || len(k.out) >= fewLegs || l.single && len(k.out) > 0 {
+		if k.single || len(k.out) >= fewLegs || l.single && len(k.out) > 0 || fresh && k.up {
 			if shared == nil || k.up && !shared.up || k.up == shared.up && len(k.out) < len(shared.out) {
 				shared = k
 			}
@@ -159,8 +162,8 @@
 			best = k
 		}
 	}
-	part := len(r.links) < max(2, f.mostLinks/max(1, len(f.all)))
-	if best == nil && (f.links < f.mostLinks && (part || shared == nil) || shared == nil && f.closeIdle()) {
+	part := fresh || len(r.links) < max(2, f.mostLinks/max(1, len(f.all)))
+	if best == nil && (f.links < f.mostLinks && (part || shared == nil) || (fresh || shared == nil) && f.closeIdle()) {
 		best = newLink(c, r)
 		r.links = append(r.links, best)
 		f.links++
@@ -222,12 +225,12 @@
 	if len(k.out) > 0 && !k.closed {
 		c.fleet.staleAfter(k)
 	}
-	out := k.out
+	out, lives := k.out, len(k.out) > 0 && (k.spoilt || k.replica.lives())
 	k.out, k.closed = nil, true
 	for _, l := range out {
 		switch {
 		case l.over:
-		case l.stage == written && k.spoilt:
+		case l.stage == written && lives:
 			c.ends(l, decide.Spoilt, at-l.sentAt)
 		case l.stage == written:
 			c.ends(l, decide.Reset, at-l.sentAt)
@@ -238,6 +241,17 @@
 	}
 }
 
+// lives tells whether a connection to the replica is still up. Guards against: a connection that breaks and passes
+// for its replica's death. Should also cover: a far side that drops rested ones. Could hurt: a process that dies
+// slowly; its other connections tell soon.
+func (r *replica) lives() bool {
+	return slices.ContainsFunc(r.links, func(k *link) bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.up && !k.closed && k.conn != nil && !hasEnded(k.conn)
+	})
+}
+
 func (c *Coordinator) resend(l *leg, r *replica) bool {
 	l.moved, l.stage = true, waiting
 	return c.fleet.send(c, l, r.id)
@@ -252,6 +266,7 @@
 	first := k.out[0]
 	if quiet := k.heardAt < first.sentAt && k.c.now-first.sentAt < f.connectWithin; quiet && k.rested > 0 {
 		f.idleLimit = min(f.idleLimit, max(k.rested/2, 4*f.connectWithin))
+		f.staleUntil = k.c.now + staleFor
 	}
 }
 
