Let clients that ask once and stay leave room for others

Checked with figures of the front printed four times a second: connections of clients that had asked stood at 128, a third of the 384 descriptors, which is all that clients may hold. Ruled out: accepts that wait, evictions, maxOpen, bad requests, replicas, the restart.

--- a/cmd/terntray/main_test.go
+++ b/cmd/terntray/main_test.go
@@ -517,6 +517,32 @@
 	}
 }
 
+// Clients hold no more than a third of the descriptors: those that asked once and stay have to leave room for others.
+func TestClientsThatAskOnceAndStayLeaveRoom(t *testing.T) {
+	a := newStandin(t, "s-a", 0, fulfil)
+	r := newRoster(t, "127.0.0.1:0", a)
+	p := start(t, configure(t, r.l.Addr().String(), 96, settings, a))
+	var open atomic.Int32
+	for n := range 60 {
+		c := p.connect()
+		open.Add(1)
+		c.send(query("look", fmt.Sprint("q", n), 10, 3))
+		c.expect(map[int]string{3: value(a, 3)})
+		go func() {
+			c.in.ReadByte()
+			open.Add(-1)
+		}()
+		asked := time.Now()
+		until(t, "so few stay that there is room", func() bool { return open.Load() < 96/3-4 })
+		if waited := time.Since(asked); waited > time.Second {
+			t.Fatalf("there was room only after %v", waited)
+		}
+	}
+	if n := open.Load(); n < 10 {
+		t.Errorf("only %d may stay", n)
+	}
+}
+
 // A log that nobody reads holds up nothing.
 func TestLogThatIsNotReadHoldsUpNothing(t *testing.T) {
 	stuck := make(chan struct{})
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -16,7 +16,7 @@
 	mostAhead     = 80 << 10                // bytes that a client may send ahead of an answer: a request and more
 	plainRequest  = 16 << 10                // bytes; what sends more needs one of the places for large ones
 	requestWithin = 1500 * time.Millisecond // for a request to be whole, from its first byte; the first, from the start
-	idleWithin    = 2500 * time.Millisecond // between requests; from two seconds on a connection may go
+	idleWithin    = 2000 * time.Millisecond // between requests; from then on a connection may go
 	writeLimit    = 3 * time.Second         // for an answer that a client does not read
 	parting       = 300 * time.Millisecond  // for what a client still sends after its last answer,
 	partingBytes  = 256 << 10               // and so many bytes of it at the most
@@ -191,8 +191,10 @@
 func (k *client) dispatch(r *protocol.Request, at time.Duration) bool {
 	k.asked++
 	k.ends = r.Close
-	k.known.Store(true)
 	k.idleSince.Store(0)
+	if k.asked == 1 {
+		k.c.front.meet(k)
+	}
 	k.busy, k.lookEnds = true, time.Time{}
 	track, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
 	_, known := k.c.tracks[track]
--- a/coordinator/front.go
+++ b/coordinator/front.go
@@ -13,6 +13,8 @@
 	frontShare = 2                      // of the memory one part in so many may be clients' connections
 	plainCosts = 16 << 10               // bytes that the connection of a usual client takes
 	largeShare = 8                      // of the memory one part in so many may be large requests
+	usualShare = 3                      // clients hold one in so many of the descriptors at the most for requests
+	usualKept  = 0.7                    // of those, so many may be open before the one idle longest has to go
 	newIdles   = 20                     // times as long as others a connection counts as idle that never asked
 	freeShare  = 10                     // of the slots one in so many is kept free, where clients are idle
 	goingOn    = 700 * time.Millisecond // after the word to end: how long clients may still come
@@ -30,6 +32,8 @@
 	mu      sync.Mutex
 	clients map[*client]struct{}
 	going   int // of those, told to go
+	known   int // of those, have asked and were not told to go
+	usual   int // so many of them may be open
 }
 
 func (f *front) start(c *Coordinator, listener net.Listener) {
@@ -46,6 +50,10 @@
 		places = max(1, min(most, limits.MemoryMB<<20/largeShare/(2*mostAhead)))
 	}
 	f.large = make(chan struct{}, places)
+	f.usual = most
+	if limits.Sockets > 0 {
+		f.usual = max(1, int(usualKept*float64(limits.Sockets/usualShare)))
+	}
 	f.running.Go(func() { f.accept(c) })
 }
 
@@ -103,6 +111,8 @@
 	delete(f.clients, k)
 	if k.evicted.Load() {
 		f.going--
+	} else if k.known.Load() {
+		f.known--
 	}
 	f.mu.Unlock()
 	<-f.slots
@@ -114,15 +124,33 @@
 	return f.going
 }
 
+// meet notes that a client has asked for the first time. Guards against: clients that ask once and keep their
+// connections until none is left to them for other requests. Could hurt: who comes back soon finds a closed one.
+func (f *front) meet(k *client) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k.known.Store(true)
+	if !k.evicted.Load() {
+		f.known++
+	}
+	if f.known > f.usual {
+		f.evictOne(true)
+	}
+}
+
 // evict asks the client to go that has been idle for longest, first of all those that never asked.
 func (f *front) evict() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.evictOne(false)
+}
+
+func (f *front) evictOne(known bool) bool {
 	var longest *client
 	most, now := int64(-1), time.Now().UnixNano()
 	for k := range f.clients {
 		since := k.idleSince.Load()
-		if since == 0 || k.evicted.Load() {
+		if since == 0 || k.evicted.Load() || known && !k.known.Load() {
 			continue
 		}
 		idle := max(0, now-since)
@@ -136,6 +164,9 @@
 	if longest != nil {
 		longest.evicted.Store(true)
 		f.going++
+		if longest.known.Load() {
+			f.known--
+		}
 		longest.wake()
 	}
 	return longest != nil
