Wait with the verdict on a broken connection until a death would show; count what is held back

A process that dies closes its connections one after the other: at the first of them the others still look up, and a deadly retrieval's death would not count. Now the legs of a broken connection are told after 10 ms if others were up, by how those look then.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -206,7 +206,7 @@
 		return k.give(answer{refusal(http.StatusOK, "up", k.last()), k.last()})
 	case r.Path == "/counters" && r.Method == http.MethodGet:
 		return k.c.post(func() {
-			k.answer(refusal(http.StatusOK, k.c.counts.line(len(k.c.retrievals)), k.last()))
+			k.answer(refusal(http.StatusOK, k.c.countersLine(), k.last()))
 		})
 	case r.Path == "/up" || r.Path == "/counters" || known && r.Method != http.MethodPost:
 		return k.refuse(&protocol.Fault{Status: http.StatusMethodNotAllowed, Words: "this is for another method"})
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -128,7 +128,7 @@
 	c.list.stop()
 	c.fleet.stop()
 	c.drivers.Wait()
-	c.log.Printf("event=ended %s", c.counts.line(len(c.retrievals)))
+	c.log.Printf("event=ended %s", c.countersLine())
 	return nil
 }
 
@@ -171,11 +171,16 @@
 
 // leave begins the end: clients are asked to go elsewhere, and those that still come are served.
 func (c *Coordinator) leave() {
-	c.log.Printf("event=leaving %s", c.counts.line(len(c.retrievals)))
+	c.log.Printf("event=leaving %s", c.countersLine())
 	c.leaving.Store(true)
 	c.front.leave(func() { c.post(func() { c.gone = true }) })
 }
 
+func (c *Coordinator) countersLine() string {
+	return fmt.Sprintf("%s accepted=%d evicted=%d", c.counts.line(len(c.retrievals)), c.front.accepted.Load(),
+		c.front.evicted.Load())
+}
+
 func (c *Coordinator) over() bool { return c.gone && len(c.retrievals) == 0 }
 
 func (c *Coordinator) trace(format string, args ...any) {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -431,17 +431,31 @@
 	}
 	rested.out, rested.rested = []*leg{{part: part, link: rested, stage: written, sentAt: 1}}, time.Second
 	c.linkEnded(rested, net.ErrClosed, 0)
+	time.Sleep(2 * deathShows)
+	c.turn(func() {}, func() {})
 	if got := c.counts.Outcomes; got[decide.Spoilt] != 1 || got[decide.Reset] != 0 {
 		t.Errorf("outcomes %v", got)
 	}
-	if k := c.fleet.choose(c, r, single); k.up {
+	fresh := c.fleet.choose(c, r, single)
+	if fresh.up {
 		t.Error("a single-use leg goes on a rested connection")
 	}
+	fresh.close()
 	other.out = []*leg{{part: part, link: other, stage: written}}
 	c.linkEnded(other, net.ErrClosed, 0)
 	if got := c.counts.Outcomes; got[decide.Reset] != 1 {
 		t.Errorf("outcomes %v once no connection is up", got)
 	}
+	first, second := up(), up()
+	first.out = []*leg{{part: part, link: first, stage: written}}
+	c.linkEnded(first, net.ErrClosed, 0)
+	second.conn.Close() // the process dies
+	second.closed = true
+	time.Sleep(2 * deathShows)
+	c.turn(func() {}, func() {})
+	if got := c.counts.Outcomes; got[decide.Reset] != 2 {
+		t.Errorf("outcomes %v of a process whose connections break one after the other", got)
+	}
 }
 
 // What was given up may still take a place at its replica, until it is answered or its time is over.
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -7,6 +7,7 @@
 type Counts struct {
 	Taken, Fulfilled, Partial, TurnedBack, Scrapped, Left int
 
+	HeldBack int    // turned back or scrapped in the second half of their time, without a leg that went
 	Full     int    // of those turned back: by the bound on what is open
 	Bad      int    // requests that were none
 	Legs     int    // sent
@@ -23,10 +24,11 @@
 	"ok", "erred", "turned_away", "timed_out", "unreachable", "reset", "cancelled", "moot", "spoilt",
 }
 
+// line tells the counters, with how many retrievals are open.
 func (n *Counts) line(open int) string {
 	s := fmt.Sprintf("taken=%d fulfilled=%d partial=%d turned_back=%d full=%d scrapped=%d left=%d open=%d",
 		n.Taken, n.Fulfilled, n.Partial, n.TurnedBack, n.Full, n.Scrapped, n.Left, open)
-	s += fmt.Sprintf(" bad=%d legs=%d", n.Bad, n.Legs)
+	s += fmt.Sprintf(" held_back=%d bad=%d legs=%d", n.HeldBack, n.Bad, n.Legs)
 	for i, name := range outcomeNames {
 		s += fmt.Sprintf(" legs_%s=%d", name, n.Outcomes[i])
 	}
--- a/coordinator/front.go
+++ b/coordinator/front.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,6 +35,8 @@
 	going   int // of those, told to go
 	known   int // of those, have asked and were not told to go
 	usual   int // so many of them may be open
+
+	accepted, evicted atomic.Int64 // so far; read by all
 }
 
 func (f *front) start(c *Coordinator, listener net.Listener) {
@@ -70,6 +73,7 @@
 		conn, err := f.listener.Accept()
 		switch {
 		case err == nil:
+			f.accepted.Add(1)
 			k := newClient(c, conn)
 			f.mu.Lock()
 			f.clients[k] = struct{}{}
@@ -163,6 +167,7 @@
 	}
 	if longest != nil {
 		longest.evicted.Store(true)
+		f.evicted.Add(1)
 		f.going++
 		if longest.known.Load() {
 			f.known--
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	spare      = 24               // descriptors for all that is no connection of a client or to a replica
-	fewLegs    = 4                // on a connection before another is opened, where descriptors allow: they share its fate
-	staleFor   = 10 * time.Second // after a rested connection broke at its next use, legs that may not run twice get new ones
-	fleetShare = 3                // of the others one in so many may be a connection to a replica
+	spare      = 24                    // descriptors for all that is no connection of a client or to a replica
+	fewLegs    = 4                     // on a connection before another is opened, where descriptors allow: they share its fate
+	staleFor   = 10 * time.Second      // after a rested connection broke at its next use, legs that may not run twice get new ones
+	deathShows = 10 * time.Millisecond // after the first of a process's connections broke, the others have
+	fleetShare = 3                     // of the others one in so many may be a connection to a replica
 )
 
 // replica is one as discovery lists it, with the connections to it.
@@ -225,25 +226,42 @@
 	if len(k.out) > 0 && !k.closed {
 		c.fleet.staleAfter(k)
 	}
-	out, lives := k.out, len(k.out) > 0 && (k.spoilt || k.replica.lives())
+	out := k.out
 	k.out, k.closed = nil, true
+	broke := func(how decide.Outcome) {
+		for _, l := range out {
+			if !l.over && l.stage == written {
+				c.ends(l, how, at-l.sentAt)
+			}
+		}
+	}
 	for _, l := range out {
 		switch {
-		case l.over:
-		case l.stage == written && lives:
-			c.ends(l, decide.Spoilt, at-l.sentAt)
-		case l.stage == written:
-			c.ends(l, decide.Reset, at-l.sentAt)
+		case l.over || l.stage == written:
 		case k.up && !l.moved && !k.replica.left && !l.part.of.closed && c.resend(l, k.replica):
 		default:
 			c.ends(l, decide.Unreachable, at-l.sentAt)
 		}
 	}
+	switch {
+	case k.spoilt:
+		broke(decide.Spoilt)
+	case k.replica.lives():
+		c.after(deathShows, "", func() {
+			if k.replica.lives() {
+				broke(decide.Spoilt)
+			} else {
+				broke(decide.Reset)
+			}
+		})
+	default:
+		broke(decide.Reset)
+	}
 }
 
 // lives tells whether a connection to the replica is still up. Guards against: a connection that breaks and passes
 // for its replica's death. Should also cover: a far side that drops rested ones. Could hurt: a process that dies
-// slowly; its other connections tell soon.
+// so slowly that others are up for long.
 func (r *replica) lives() bool {
 	return slices.ContainsFunc(r.links, func(k *link) bool {
 		k.mu.Lock()
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -179,10 +179,20 @@
 		return
 	}
 	*count++
+	if count != &c.counts.Fulfilled && c.now-q.came > (q.cutOff-q.came)/2 && !q.went() {
+		c.counts.HeldBack++
+	}
 	c.close(q)
 	q.client.answer(make(q, q.client.last()))
 }
 
+// went tells whether any leg was written whole.
+func (q *retrieval) went() bool {
+	return slices.ContainsFunc(q.parts, func(p *part) bool {
+		return slices.ContainsFunc(p.legs, func(l *leg) bool { return l.link != nil && l.link.stageOf(l) == written })
+	})
+}
+
 // Answer answers with the parts that are in.
 func (c *Coordinator) Answer(id decide.RequestID, whole bool) {
 	c.reply(id, &c.counts.Fulfilled, func(q *retrieval, last bool) []byte {
