--- a/decide/decide.go
+++ b/decide/decide.go
@@ -74,7 +74,8 @@
 	askPatience = 8 * time.Second        // without any reply, after which a call counts as lost
 
 	scoutsMany   = 12                    // parts; a retrieval of more sends one ahead in any case
-	scoutStep    = 60 * time.Millisecond // in which as many go again; what kills mostly does so in one
+	scoutStep    = 60 * time.Millisecond // to the next parts; what kills mostly does so in one
+	scoutGrow    = 8.0                   // times as many parts are out after each step: the largest are, after two
 	fewOpen      = 64                    // retrievals that cost a turn little; a co-ordinator in its stride has fewer open
 	answersDeath = 2.0                   // answers that a retrieval must have for each death under it
 
@@ -969,12 +970,12 @@
 	return float64(n+1) > c.limit[r] && c.now-max(c.replyAt[r], c.outs[r][n-1].sentAt) < scale(hungAfter, c.tempo)
 }
 
-// scouting tells whether a large retrieval's next part waits: until an answer is in one goes, then as many
-// again in each step. Guards against: retrievals that kill what takes a part, where one of many co-ordinators
+// scouting tells whether a large retrieval's next part waits: until an answer is in one goes, then eight
+// times as many in each step. Guards against: retrievals that kill what takes a part, where one of many co-ordinators
 // sees too few deaths to be warned. Could hurt: by some steps while replicas are busy.
 func (c *Coordinator) scouting(q *retrieval) bool {
 	return q.in < 1+2*q.deaths && len(q.parts) > scoutsMany && c.unseen > 1 && q.sent > 0 &&
-		q.sent >= math.Exp2(math.Floor(float64(c.now-q.arrived)/float64(scoutStep)))
+		q.sent >= math.Pow(scoutGrow, math.Floor(float64(c.now-q.arrived)/float64(scoutStep)))
 }
 
 // erring tells whether a further leg waits: the replica's last brought no answer, just now or, for the last
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -320,6 +320,25 @@
 	}
 }
 
+// While replicas are busy no answer comes for long; parts that wait for one must not take a third of the agreed time.
+func TestPartsAheadHoldALargeRetrievalUpForTwoSteps(t *testing.T) {
+	m := newModel(t, 0)
+	m.many(40, 0)
+	m.ask(0, 20, 3*time.Second)
+	m.turn()
+	m.pass(50 * ms)
+	if len(m.sent) != 1 {
+		t.Fatalf("%d parts sent at once", len(m.sent))
+	}
+	m.pass(30 * ms)
+	if len(m.sent) != 8 {
+		t.Errorf("%d parts sent after a step", len(m.sent))
+	}
+	if m.pass(60 * ms); len(m.sent) != 20 {
+		t.Errorf("%d parts of 20 sent after two steps", len(m.sent))
+	}
+}
+
 // Each of many co-ordinators has too small a share of a cold replica's budget for a single part: some get
 // theirs by turns, and all together stay within the budget though each sends what it may.
 func TestManyCoordinatorsShareAColdReplicaByTurns(t *testing.T) {
