Let cold replicas work by their warmth, and hold copies back while replicas are busy

Two causes, both harmless in one co-ordinator.

Lines at fault: turns and coldRoom in decide/decide.go; with a budget for 20 parts only 20 of 60 might send, and one of them has a part for it once in seconds.

The reports in replies tell a jam: cpu was 0.73 to 0.89 in the mean while the burst lasted, 0.35 to 0.55 before. They are read now, and copies thin out from 0.4 to 0.7 of the cores in use.

--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -337,6 +337,9 @@
 		return
 	}
 	l := c.fleet.legs[ended.ID]
+	if r.Busy >= 0 {
+		c.module.ReplicaReports(c.now, r.Busy)
+	}
 	how := decide.Erred
 	switch r.End {
 	case dialect.OK:
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
@@ -56,6 +55,9 @@
 	maxCredit   = 10.0 // further legs; bounds a rush of them when many legs fail at once
 	copyReply   = 0.3  // second copies of stragglers earned by an answer, wherever it came from
 	lastParts   = 1.5  // parts; the copy of a retrieval's only missing part is always worth it
+	busyFrom    = 0.4  // share of the replicas' cores in use; up to it copies cost nobody
+	busyMost    = 0.7  // the same; beyond, a queue forms at some and each copy makes it longer
+	busyStep    = 0.05 // weight of a report in what that is taken for: about twenty replies, a large retrieval's
 	maxCopies   = 24.0 // second copies; the most that may be saved up
 	wasteWeighs = 22.0 // times the price of waste, squared and added to 1: what both are divided by
 
@@ -86,8 +88,10 @@
 	staleTook = 6 * time.Millisecond   // a connection that drops within it was of no use from the first
 
 	coldLanes  = 2.0  // parts side by side that a cold budget counts on: what is learned climbs in a jam
-	coldPart   = 0.15 // share of the shortest agreed time that a co-ordinator's turn at a cold replica holds
 	coldSafety = 0.8  // share of this instance's part of the cold budget that it uses
+	coldMany   = 2.0  // what its share is divided by where that is less than a part: chance decides what meets
+	coldFlow   = 1.5  // times what goes to a warm replica, and the warmth; within a budget of 4 while the warm ones get twice what they can do
+	flowFades  = 10.0 // seconds in which what went to warm ones is forgotten to a third
 	fewAlike   = 8.0  // co-ordinators; up to so many one sees enough of the work that waits at replicas
 	unseenMore = 0.5  // times the expected finish, for each e-fold of co-ordinators more, that it may take
 	lateSlack  = 0.15 // share of the agreed time by which an estimate must miss it to count
@@ -180,6 +184,9 @@
 	askAt, askWait, askEvery                         time.Duration
 	now, refilled, wakeAt, stalled, shedAt           time.Duration // shedAt: the last turning back
 	behind                                           time.Duration // own core's lateness, as told
+	busy                                             float64       // learned from reports: share of the replicas' cores in use
+	flow, warm, blank                                float64       // legs of late to warm replicas, how many there are, share of that time before the start
+	asked                                            []float64     // parts of late, by cell
 
 	open           []*retrieval // in order of arrival
 	byID           map[RequestID]*retrieval
@@ -207,10 +214,10 @@
 	answeredAt              [][]time.Duration // last answer, by track
 	halvedAt, errAt, hereAt []time.Duration   // last halving of the cap, last error, last time in the list
 	trialAt, trialGap       []time.Duration   // next trial, and from it to the one after
+	coldAt                  []time.Duration   // until then its cold budget is used up here
 	outWork, heldWork       []time.Duration   // expected work out there and held for it
 	errs                    [][]int           // by track: replies in a row that brought no answer
 	outs                    [][]*leg          // in order of sending
-	coldLog                 [][]*leg          // sent while cold
 }
 
 // New starts a co-ordinator. It fails if a setting that it cannot do without is missing or unreadable.
@@ -226,18 +233,13 @@
 
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
-func (c *Coordinator) chance() float64 {
-	h := fnv.New64a()
-	c.draws++
-	fmt.Fprintln(h, c.seed, c.draws)
-	return float64(h.Sum64()>>11) / (1 << 53)
-}
-
 // ListBegins opens a list: changes, or all, when who is not told is gone; an old one is an earlier life's.
 func (c *Coordinator) ListBegins(now time.Duration, full, old bool) {
 	c.clock(now)
 	clear(c.held)
-	if !old {
+	if old {
+		c.refilled = now
+	} else {
 		c.subscribed, c.askWait = true, askFirst
 	}
 	for r := 0; full && r < len(c.life); r++ {
@@ -319,6 +321,7 @@
 		p.spent = 1
 	}
 	q.parts, c.parts[id] = append(q.parts, p), p
+	c.asked[int(shard)%c.cells]++
 }
 
 // StepsFollow tells that a retrieval's steps are whole or nothing and end by NextStep alone; if reserves, its parts' first
@@ -404,6 +407,17 @@
 	}
 }
 
+// ReplicaReports tells the share of its cores that a replica has in use, as it says itself.
+func (c *Coordinator) ReplicaReports(now time.Duration, busy float64) {
+	c.clock(now)
+	c.busy += busyStep * (busy - c.busy)
+}
+
+// idle is how much room replicas have for second copies, from 0 to 1, as far as they tell. Guards against: copies that
+// make a jam, of which each co-ordinator of many sees too little. Should also cover: copies saved up in quiet times.
+// Could hurt: stragglers of a busy fleet wait.
+func (c *Coordinator) idle() float64 { return max(0, min(1, (busyMost-c.busy)/(busyMost-busyFrom))) }
+
 // late is how long a leg may take before it is a straggler among its retrieval's; while most others are out,
 // any time. Guards against: copies of heavy retrievals, or in a jam. Could hurt: where most replicas hang.
 func (c *Coordinator) late(l *leg, times float64) time.Duration {
@@ -416,10 +430,6 @@
 	return scale(l.base, times*c.pace[l.at])
 }
 
-func (p *part) running() bool {
-	return slices.ContainsFunc(p.legs, func(l *leg) bool { return !l.done })
-}
-
 func (c *Coordinator) answered(r replica, t *track, l *leg, took time.Duration) {
 	c.replyAt[r], c.answeredAt[r][t.index], c.errs[r][t.index] = c.now, c.now, 0
 	for _, o := range c.outs[r] {
@@ -429,7 +439,7 @@
 	}
 	c.credit[r] = min(maxCredit, c.credit[r]+creditReply)
 	c.ceiling[r] = min(maxCap, c.ceiling[r]+ceilingReply)
-	c.copies = min(maxCopies*c.thrift, c.copies+copyReply*c.thrift)
+	c.copies = min(maxCopies*c.thrift, c.copies+copyReply*c.thrift*c.idle())
 	here, expected := c.stalled, scale(l.base, c.pace[r])
 	if c.behind > 0 { // the reply itself waited here for so long; what that explains says the replica is sound
 		here, expected = here+ownShare*max(c.behind, c.now-l.sentAt-took), min(expected, l.base)
@@ -583,7 +593,15 @@
 	for n := range c.tracks {
 		c.tracks[n].longer = 1 + (c.tracks[n].longer-1)*math.Exp(-passed/longerFades)
 	}
+	fade := math.Exp(-passed / flowFades)
+	c.flow, c.warm, c.blank = c.flow*fade, 0, c.blank*fade
+	for n := range c.asked {
+		c.asked[n] *= fade
+	}
 	for r := range c.id {
+		if c.life[r] == Active && !c.coldFor(replica(r)) {
+			c.warm++
+		}
 		c.watch(replica(r))
 		c.unload(replica(r), func(l *leg) bool { return l.passed > 0 && c.stuck(l) }) // lost, it would hold a place
 		if c.life[r] != Left {
@@ -622,7 +640,7 @@
 func (c *Coordinator) spare(r replica, t *track) bool {
 	for back := range c.reach {
 		others := c.holders(ShardNumber(int(c.cell[r]) - back + c.cells))
-		if !slices.ContainsFunc(others, func(o replica) bool { return o != r && c.sendable(o, t, 0) }) {
+		if !slices.ContainsFunc(others, func(o replica) bool { return o != r && c.sendable(o, t, nil) }) {
 			return false
 		}
 	}
@@ -662,7 +680,7 @@
 	switch {
 	case q.got >= need:
 		c.answer(q, q.step == 0 || q.firstWhole)
-	case c.now >= q.endAt-endMargin || q.doubtful() && (q.deaths > 1 || !c.sendable(q.suspect, q.track, 0)):
+	case c.now >= q.endAt-endMargin || q.doubtful() && (q.deaths > 1 || !c.sendable(q.suspect, q.track, nil)):
 		c.giveUp(q)
 	case c.now >= q.agreed-endMargin && c.now < q.agreed && q.got >= floor &&
 		q.track.earns*q.got/need > q.track.late:
@@ -739,17 +757,8 @@
 	}
 }
 
-func (c *Coordinator) hold(p *part, r replica) {
-	if p.held && p.at != nowhere {
-		c.heldWork[p.at] -= p.work
-	}
-	if p.at, p.held = r, true; r != nowhere {
-		c.heldWork[r] += p.work
-	}
-}
-
-func (c *Coordinator) sendable(r replica, t *track, work time.Duration) bool {
-	return c.life[r] == Active && !c.aside[r][t.index] && c.coldRoom(r, work)
+func (c *Coordinator) sendable(r replica, t *track, p *part) bool {
+	return c.life[r] == Active && !c.aside[r][t.index] && c.coldRoom(r, p)
 }
 
 func (c *Coordinator) finish(r replica, more time.Duration) time.Duration {
@@ -764,7 +773,7 @@
 func (c *Coordinator) choose(p *part, cost func(replica) time.Duration) replica {
 	best, least := nowhere, time.Duration(math.MaxInt64)
 	for _, r := range c.holders(p.shard) {
-		if d := cost(r); d >= 0 && d < least && c.sendable(r, p.of.track, p.work) {
+		if d := cost(r); d >= 0 && d < least && c.sendable(r, p.of.track, p) {
 			best, least = r, d
 		}
 	}
@@ -778,7 +787,7 @@
 	}
 	var mine []*part
 	for _, p := range q.parts {
-		stays := p.held && p.at != nowhere && c.sendable(p.at, q.track, p.work)
+		stays := p.held && p.at != nowhere && c.sendable(p.at, q.track, p)
 		if p.in || p.gone || stays || !p.held && len(p.legs) > 0 {
 			continue
 		}
@@ -798,11 +807,6 @@
 	}
 }
 
-// tried tells whether a part had a leg at a replica, or one that may have run.
-func (p *part) tried(r replica, ran bool) bool {
-	return slices.ContainsFunc(p.legs, func(l *leg) bool { return l.at == r && (!ran || l.ran || !l.done) })
-}
-
 func (q *retrieval) reaches(pass func(*part) bool) bool {
 	within := 0.0
 	for _, p := range q.parts {
@@ -840,7 +844,7 @@
 				there := c.finish(r, p.work)
 				d := max(left, there)
 				if r != worst && (d < least || d == least && moved != nil && there < soonest) &&
-					c.sendable(r, p.of.track, p.work) && !p.tried(r, false) {
+					c.sendable(r, p.of.track, p) && !p.tried(r, false) {
 					moved, to, least, soonest = p, r, d, there
 				}
 			}
@@ -948,7 +952,7 @@
 				c.drop(p)
 				c.short(q)
 			case (first || r == nowhere) && c.trial(p) || r == nowhere:
-			case blocked[r] || c.full(r) || !c.coldRoom(r, p.work) ||
+			case blocked[r] || c.full(r) || !c.coldRoom(r, p) ||
 				p.again && !c.mayGoOn() || !first && (c.credit[r] < 1 && len(c.outs[r]) > 0 || !c.mayGoOn() || c.erring(r, q.track, c.lastLeg(p))):
 				if first && !blocked[r] {
 					blocked[r] = true
@@ -1021,7 +1025,9 @@
 		c.credit[r]--
 	}
 	if c.coldFor(r) {
-		c.coldLog[r] = append(c.coldLog[r], l)
+		c.coldAt[r] = max(c.coldAt[r], c.now) + c.coldTakes(r, p.work)
+	} else {
+		c.flow++
 	}
 	limit := time.Duration(0)
 	if !c.mayCopy && !c.lastLeg(p) && p.of.track.effect != singleUse {
@@ -1044,7 +1050,7 @@
 		if !copied && p.at != nowhere && c.mayCopy {
 			due += scale(trialMost, c.tempo)
 		}
-		if c.aside[r][p.of.track.index] && !p.tried(r, true) && c.now >= due && c.coldRoom(r, p.work) {
+		if c.aside[r][p.of.track.index] && !p.tried(r, true) && c.now >= due && c.coldRoom(r, p) {
 			c.trialAt[r] = c.now + c.trialGap[r]
 			if c.trialGap[r] = min(scale(trialMost, c.tempo), 2*c.trialGap[r]); p.at == nowhere {
 				c.trialGap[r] = scale(trialFirst, c.tempo) // no other holder is in use
@@ -1074,12 +1080,12 @@
 			d := c.finish(r, p.work)
 			if p.tried(r, true) || c.credit[r] < 1 || float64(len(c.outs[r])) >= c.limit[r] ||
 				c.erring(r, q.track, false) || d >= min(q.endAt-c.now, max(age, 2*l.base)) ||
-				!c.stuck(l) && c.now+scale(d, copyRoom*max(1, many)) <= q.agreed {
+				(!c.stuck(l) || c.idle() == 0) && c.now+scale(d, copyRoom*max(1, many)) <= q.agreed {
 				return -1
 			}
 			return d
 		})
-		if best != nowhere && (c.copies >= 1 || float64(len(q.parts))-q.in <= lastParts) {
+		if best != nowhere && (c.copies*c.idle() >= 1 || float64(len(q.parts))-q.in <= lastParts) {
 			c.copies = max(0, c.copies-1)
 			c.send(p, best)
 		}
@@ -1095,32 +1101,27 @@
 	return min(1, c.startShare+(1-c.startShare)*age)
 }
 
-// turns is how many co-ordinators may send to a cold replica, 0 if this is not one: as many as its budget has
-// parts for, drawn by id. Guards against: shares too small for any part. Could hurt: where few send there.
-func (c *Coordinator) turns(r replica) int {
-	if !c.coldFor(r) {
-		return c.balancers
+// coldRoom keeps to this instance's share of a cold replica's budget. Where that is some parts no more goes within an
+// overload span. Where it is less than one, chance lets each part go or not, as many as the share and what is sent to warm
+// ones (which shows what all send) allow. Guards against: pushing over a fresh replica, and leaving it idle as no share
+// holds a part. Could hurt: where the warm ones are sent far more than they can do.
+func (c *Coordinator) coldRoom(r replica, p *part) bool {
+	if !c.coldFor(r) || p == nil {
+		return true
 	}
-	budget := scale(c.tipOver, c.tipMultiple*c.warmth(r))
-	n := max(1, min(c.balancers, int(budget/scale(c.quickest, coldPart))))
-	if (c.self+int(c.id[r]%ReplicaID(c.balancers)))%c.balancers >= n {
-		return 0
+	takes := c.coldTakes(r, p.work)
+	if burst := scale(c.tipOver, 1/coldSafety-1); takes <= burst {
+		return c.now >= c.coldAt[r]+takes-burst
 	}
-	return n
+	allowed, asked := (1-c.blank)*flowFades/takes.Seconds()/coldMany+coldFlow*c.warmth(r)*c.flow/max(1, c.warm), 0.0
+	for back := range c.reach {
+		asked += c.asked[(int(c.cell[r])-back+c.cells)%c.cells]
+	}
+	return c.draw(uint64(p.id), uint64(c.id[r]))*asked < allowed
 }
 
-// coldRoom keeps to this instance's share of what a cold replica may be sent. Guards against: pushing
-// over a fresh replica. Its capacity when warm is taken as the parts that warm ones work on side by side.
-func (c *Coordinator) coldRoom(r replica, work time.Duration) bool {
-	if !c.coldFor(r) {
-		c.coldLog[r] = nil
-		return true
-	}
-	c.coldLog[r] = slices.DeleteFunc(c.coldLog[r], func(l *leg) bool { return l.sentAt < c.now-c.tipOver })
-	share := c.tipMultiple * c.warmth(r) / float64(max(1, c.turns(r)))
-	room := scale(c.tipOver, coldSafety*min(c.lanes, coldLanes)*share)
-	for _, l := range c.coldLog[r] {
-		room -= l.work + c.callCost
-	}
-	return c.turns(r) > 0 && work+c.callCost <= room
+// coldTakes is the time in which the share allows for so much work; a replica's capacity when warm is taken as the parts
+// that warm ones work on side by side.
+func (c *Coordinator) coldTakes(r replica, work time.Duration) time.Duration {
+	return scale(work+c.callCost, float64(c.balancers)/(coldSafety*c.tipMultiple*c.warmth(r)*min(c.lanes, coldLanes)))
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -381,6 +381,75 @@
 	}
 }
 
+// What a fleet sends its warm replicas shows what a cold one will be asked for: it must not stand idle while all others
+// work, or they carry its load until it is warm.
+func TestColdReplicaWorksByItsWarmthAmongMany(t *testing.T) {
+	const alike = 40
+	cold, warm, asked := 0, 0, 0
+	for self := range alike {
+		m := newModel(t, 0)
+		m.many(alike, self)
+		m.only(102, 104, 105) // 104 alone holds shard 0
+		for m.now < 7*time.Second {
+			if m.now >= 3*time.Second && m.replicas[104].started == LongAgo {
+				m.replicas[104].started = m.now
+				m.tell(false, false, 104)
+			}
+			m.shard = asked % 3
+			asked++
+			m.ask(0, 1, 3*time.Second)
+			m.turn()
+			m.pass(400 * ms)
+			for _, o := range m.outs() {
+				m.end(o.p, o.n, Fulfilled)
+			}
+		}
+		for _, p := range m.parts {
+			for _, l := range p.legs {
+				switch {
+				case l.at < 3*time.Second:
+				case l.to == 104:
+					cold++
+				default:
+					warm++
+				}
+			}
+		}
+	}
+	t.Logf("a cold replica got %d parts, each warm one %d", cold, warm/2)
+	if share := float64(2*cold) / float64(warm); share < 0.4 || share > 1 {
+		t.Errorf("a cold replica got %d parts, each warm one %d", cold, warm/2)
+	}
+}
+
+// A copy lengthens the queue that it is sent past: while the replicas say that they are busy none goes, of how many are
+// saved up.
+func TestNoCopiesWhileReplicasReportThatTheyAreBusy(t *testing.T) {
+	for _, busy := range []float64{0.3, 0.95} {
+		m := newModel(t, 0)
+		for range 100 {
+			m.c.ReplicaReports(m.now, busy)
+		}
+		q := m.ask(0, 10, 3*time.Second)
+		m.turn()
+		m.pass(80 * ms)
+		for _, p := range q.parts[:7] {
+			m.end(p, 0, Fulfilled)
+		}
+		m.turn()
+		for range 80 {
+			m.pass(10 * ms)
+		}
+		copies := 0
+		for _, p := range q.parts[7:] {
+			copies += len(p.legs) - 1
+		}
+		if (copies > 0) != (busy < 0.5) {
+			t.Errorf("%d copies of stragglers while replicas are busy to %v", copies, busy)
+		}
+	}
+}
+
 // While connections are slow to open, every holder may time out once; the part's last leg must not wait for good.
 func TestPartWhoseHoldersCouldNotBeReachedIsTriedAgain(t *testing.T) {
 	m := newModel(t, 0)
--- a/decide/tables.go
+++ b/decide/tables.go
@@ -1,11 +1,13 @@
 package decide
 
 import (
+	"fmt"
+	"hash/fnv"
 	"slices"
 	"time"
 )
 
-// The tables by replica: a place for each, and who holds a shard. Nothing here chooses anything.
+// The tables by replica: a place for each, who holds a shard, what is held for whom; and chance. Nothing here chooses anything.
 
 // room finds a place for a new replica: one of a replica that is gone and that nothing open can mean, if any.
 // Guards against: tables that grow with all that were ever listed. Could hurt: what comes back starts anew.
@@ -20,12 +22,12 @@
 		*figures = append(*figures, 0)
 	}
 	for _, d := range []*[]time.Duration{&c.started, &c.replyAt, &c.halvedAt, &c.errAt, &c.hereAt, &c.trialAt,
-		&c.trialGap, &c.outWork, &c.heldWork} {
+		&c.trialGap, &c.outWork, &c.heldWork, &c.coldAt} {
 		*d = append(*d, 0)
 	}
 	c.id, c.life, c.growing = append(c.id, 0), append(c.life, Left), append(c.growing, false)
 	c.cell, c.zone = append(c.cell, 0), append(c.zone, 0)
-	c.outs, c.coldLog = append(c.outs, nil), append(c.coldLog, nil)
+	c.outs = append(c.outs, nil)
 	c.aside, c.errs, c.answeredAt = append(c.aside, nil), append(c.errs, nil), append(c.answeredAt, nil)
 	return replica(len(c.id) - 1)
 }
@@ -71,3 +73,33 @@
 	}
 	return times
 }
+
+func (c *Coordinator) chance() float64 {
+	c.draws++
+	return c.draw(c.draws, 0)
+}
+
+// draw is from 0 to under 1, always the same for the same things.
+func (c *Coordinator) draw(what, of uint64) float64 {
+	h := fnv.New64a()
+	fmt.Fprintln(h, c.seed, c.self, what, of)
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+func (p *part) running() bool {
+	return slices.ContainsFunc(p.legs, func(l *leg) bool { return !l.done })
+}
+
+func (c *Coordinator) hold(p *part, r replica) {
+	if p.held && p.at != nowhere {
+		c.heldWork[p.at] -= p.work
+	}
+	if p.at, p.held = r, true; r != nowhere {
+		c.heldWork[r] += p.work
+	}
+}
+
+// tried tells whether a part had a leg at a replica, or one that may have run.
+func (p *part) tried(r replica, ran bool) bool {
+	return slices.ContainsFunc(p.legs, func(l *leg) bool { return l.at == r && (!ran || l.ran || !l.done) })
+}
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -91,6 +91,7 @@
 	Wire     string
 	End      End
 	Value    []byte
+	Busy     float64 // of an answer: the share of the far side's cores in use, below 0 if it tells none
 	Evidence Evidence
 	Most     int
 	Words    string // for the log
--- a/internal/dialect/frames/session.go
+++ b/internal/dialect/frames/session.go
@@ -115,7 +115,7 @@
 	if r == nil || err != nil {
 		return e, false, err
 	}
-	return dialect.Event{Kind: dialect.Answered, Wire: r.ID, End: ends[r.End], Value: r.Value}, true, nil
+	return dialect.Event{Kind: dialect.Answered, Wire: r.ID, End: ends[r.End], Value: r.Value, Busy: r.Busy}, true, nil
 }
 
 // Partly tells whether a frame has begun to come that is not whole.
--- a/internal/dialect/http2/mapping.go
+++ b/internal/dialect/http2/mapping.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"golang.org/x/net/http2/hpack"
+	"terntray/internal/protocol"
 
 	"terntray/internal/dialect"
 )
@@ -59,11 +60,12 @@
 	fields bool // a field that is no pseudo-field has come
 
 	status, end string
+	busy        float64
 	length      int64
 }
 
 func (h *head) begins(stream uint32, ends bool) {
-	*h = head{stream: stream, open: true, ends: ends, length: -1}
+	*h = head{stream: stream, open: true, ends: ends, length: -1, busy: -1}
 }
 
 // field takes one.
@@ -89,6 +91,8 @@
 	case PartEnd:
 		h.bad = h.bad || h.end != ""
 		h.end = f.Value
+	case PartLoad:
+		h.busy = protocol.Busy(f.Value)
 	}
 }
 
--- a/internal/dialect/http2/read.go
+++ b/internal/dialect/http2/read.go
@@ -216,6 +216,9 @@
 		if h.bad || !h.ends || h.status != "" { // trailers are the last, without pseudo-fields (8.1)
 			return malformed
 		}
+		if h.busy >= 0 {
+			st.busy = h.busy
+		}
 		return s.whole(st)
 	}
 	if h.bad || len(h.status) != 3 {
@@ -232,7 +235,7 @@
 		return nil
 	}
 	s.idle = 0
-	st.answered, st.end, st.length = true, endOf(status, h.end), h.length
+	st.answered, st.end, st.length, st.busy = true, endOf(status, h.end), h.length, h.busy
 	if h.ends {
 		return s.whole(st)
 	}
@@ -249,6 +252,6 @@
 		s.reset(st, http2.ErrCodeNo)
 	}
 	s.drop(st)
-	s.tell(dialect.Event{Kind: dialect.Answered, Leg: st.call.Leg, Wire: st.call.Wire, End: st.end, Value: st.value})
+	s.tell(dialect.Event{Kind: dialect.Answered, Leg: st.call.Leg, Wire: st.call.Wire, End: st.end, Value: st.value, Busy: st.busy})
 	return nil
 }
--- a/internal/dialect/http2/session.go
+++ b/internal/dialect/http2/session.go
@@ -51,6 +51,7 @@
 	end      dialect.End
 	length   int64 // as the head says; below 0: not said
 	value    []byte
+	busy     float64 // as its head or what trails it tells
 }
 
 // Session is one connection's.
--- a/internal/protocol/frames.go
+++ b/internal/protocol/frames.go
@@ -63,6 +63,7 @@
 	ID    string
 	End   End
 	Value []byte
+	Busy  float64 // as Busy tells it
 }
 
 // Replies cuts a replica's frames out of the bytes of a connection.
@@ -99,7 +100,7 @@
 		if end == OK && m.Sizes.odd(len(value), bad != nil) {
 			return nil, fmt.Errorf("a value of %d bytes with what is no frame behind it", len(value))
 		}
-		return &Reply{string(words[0]), end, bytes.Clone(value)}, nil
+		return &Reply{string(words[0]), end, bytes.Clone(value), Busy(string(words[3]))}, nil
 	case 'N':
 		return nil, fmt.Errorf("the replica could not use a frame: %q", cut(rest))
 	}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -337,8 +337,11 @@
 		f.id("replica")
 		f.truth("closed")
 		leg, took := decide.LegNumber(f.whole("copy")), micros(f.whole("waitTime"))
-		f.load("pressure")
+		busy := f.load("pressure")
 		do = func(m *decide.Coordinator, now time.Duration) {
+			if busy >= 0 {
+				m.ReplicaReports(now, busy)
+			}
 			m.LegEnds(now, id, leg, outcome, took)
 		}
 	case "LAPSED":
@@ -483,17 +486,23 @@
 	return outcome
 }
 
-// load checks a load report; the module goes by what it sees of its own legs.
-func (f *fields) load(field string) {
+// load checks a load report and gives the share of its cores in use that the replica tells, below 0 if it tells none.
+func (f *fields) load(field string) (busy float64) {
 	v := f.text(field)
 	if v == "-" || v == "" {
-		return
+		return -1
 	}
+	busy = -1
 	for pair := range strings.SplitSeq(v, ",") {
-		_, figure, ok := strings.Cut(pair, ":")
-		if _, err := strconv.ParseFloat(figure, 64); !ok || err != nil {
+		name, figure, ok := strings.Cut(pair, ":")
+		v, err := strconv.ParseFloat(figure, 64)
+		if !ok || err != nil {
 			f.fault("field %s: %q is no name:value pair", field, pair)
-			return
+			return -1
+		}
+		if name == "cpu" {
+			busy = max(0, min(1, v))
 		}
 	}
+	return busy
 }
