Send a cold replica its warmth times half the multiple that topples it

Cause: the measure of what a cold replica may be sent was a figure of its own (1.5 times its warmth of what goes to a warm one) where the settings state one: guarantees.tipMultiple. Half of it (2 on the fleet's site, where the multiple is 4) keeps within the budget while warm replicas are sent twice what they can do at the most; where the multiple is 2.5 it is 1.25.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -90,7 +90,7 @@
 	coldLanes  = 2.0  // parts side by side that a cold budget counts on: what is learned climbs in a jam
 	coldSafety = 0.8  // share of this instance's part of the cold budget that it uses
 	coldMany   = 2.0  // what its share is divided by where that is less than a part: chance decides what meets
-	coldFlow   = 1.5  // times what goes to a warm replica, and the warmth; within a budget of 4 while the warm ones get twice what they can do
+	coldFlow   = 0.5  // share of the multiple that topples, times the warmth, of what goes to a warm replica; it holds while the warm ones get twice what they can do
 	flowFades  = 10.0 // seconds in which what went to warm ones is forgotten to a third
 	fewAlike   = 8.0  // co-ordinators; up to so many one sees enough of the work that waits at replicas
 	unseenMore = 0.5  // times the expected finish, for each e-fold of co-ordinators more, that it may take
@@ -1113,7 +1113,7 @@
 	if burst := scale(c.tipOver, 1/coldSafety-1); takes <= burst {
 		return c.now >= c.coldAt[r]+takes-burst
 	}
-	allowed, asked := (1-c.blank)*flowFades/takes.Seconds()/coldMany+coldFlow*c.warmth(r)*c.flow/max(1, c.warm), 0.0
+	allowed, asked := (1-c.blank)*flowFades/takes.Seconds()/coldMany+coldFlow*c.tipMultiple*c.warmth(r)*c.flow/max(1, c.warm), 0.0
 	for back := range c.reach {
 		asked += c.asked[(int(c.cell[r])-back+c.cells)%c.cells]
 	}
