Forget that replicas were busy once nobody tells, and read reports in one place

The simulator's adapter read a report's figure by itself and took NaN for one; both speeches now use protocol.Busy. Load reports in HTTP/2 heads and trailers have their test.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -84,7 +84,7 @@
 	letFirst  = 500 * time.Millisecond // from turning back to the first that is let in all the same
 	letMost   = 2 * time.Second        // longest wait for the next after a late one
 	mostLet   = 64.0                   // retrievals let in so at a time; from then on enough is learned
-	shedQuiet = 5 * time.Second        // without turning back, after which it counts as ended
+	shedQuiet = 5 * time.Second        // without turning back or load reports, after which that counts as ended
 	staleTook = 6 * time.Millisecond   // a connection that drops within it was of no use from the first
 
 	coldLanes  = 2.0  // parts side by side that a cold budget counts on: what is learned climbs in a jam
@@ -183,7 +183,7 @@
 	asks, subscribed                                 bool
 	askAt, askWait, askEvery                         time.Duration
 	now, refilled, wakeAt, stalled, shedAt           time.Duration // shedAt: the last turning back
-	behind                                           time.Duration // own core's lateness, as told
+	behind, reportAt                                 time.Duration // own core's lateness, as told; last load report
 	busy                                             float64       // learned from reports: share of the replicas' cores in use
 	flow, warm, blank                                float64       // legs of late to warm replicas, how many there are, share of that time before the start
 	asked                                            []float64     // parts of late, by cell
@@ -410,12 +410,11 @@
 // ReplicaReports tells the share of its cores that a replica has in use, as it says itself.
 func (c *Coordinator) ReplicaReports(now time.Duration, busy float64) {
 	c.clock(now)
-	c.busy += busyStep * (busy - c.busy)
+	c.busy, c.reportAt = c.busy+busyStep*(busy-c.busy), now
 }
 
-// idle is how much room replicas have for second copies, from 0 to 1, as far as they tell. Guards against: copies that
-// make a jam, of which each co-ordinator of many sees too little. Should also cover: copies saved up in quiet times.
-// Could hurt: stragglers of a busy fleet wait.
+// idle is how much room replicas have for second copies, from 0 to 1, as far as they told of late. Guards against: copies
+// that make a jam, of which one of many sees too little. Could hurt: stragglers of a busy fleet wait.
 func (c *Coordinator) idle() float64 { return max(0, min(1, (busyMost-c.busy)/(busyMost-busyFrom))) }
 
 // late is how long a leg may take before it is a straggler among its retrieval's; while most others are out,
@@ -595,6 +594,9 @@
 	}
 	fade := math.Exp(-passed / flowFades)
 	c.flow, c.warm, c.blank = c.flow*fade, 0, c.blank*fade
+	if c.now > c.reportAt+shedQuiet {
+		c.busy = 0 // nobody tells it any more
+	}
 	for n := range c.asked {
 		c.asked[n] *= fade
 	}
@@ -1101,10 +1103,9 @@
 	return min(1, c.startShare+(1-c.startShare)*age)
 }
 
-// coldRoom keeps to this instance's share of a cold replica's budget. Where that is some parts no more goes within an
-// overload span. Where it is less than one, chance lets each part go or not, as many as the share and what is sent to warm
-// ones (which shows what all send) allow. Guards against: pushing over a fresh replica, and leaving it idle as no share
-// holds a part. Could hurt: where the warm ones are sent far more than they can do.
+// coldRoom keeps to this instance's share of a cold replica's budget: where that is less than a part, chance lets each go
+// or not, as many as it and what warm ones get (which shows what all send) allow. Guards against: pushing over a fresh
+// replica, and leaving it idle. Could hurt: where the warm ones are sent far more than they can do.
 func (c *Coordinator) coldRoom(r replica, p *part) bool {
 	if !c.coldFor(r) || p == nil {
 		return true
@@ -1120,8 +1121,7 @@
 	return c.draw(uint64(p.id), uint64(c.id[r]))*asked < allowed
 }
 
-// coldTakes is the time in which the share allows for so much work; a replica's capacity when warm is taken as the parts
-// that warm ones work on side by side.
+// coldTakes is the time in which the share allows for so much work; warm, a replica does what others do side by side.
 func (c *Coordinator) coldTakes(r replica, work time.Duration) time.Duration {
 	return scale(work+c.callCost, float64(c.balancers)/(coldSafety*c.tipMultiple*c.warmth(r)*min(c.lanes, coldLanes)))
 }
--- a/internal/dialect/http2/session_test.go
+++ b/internal/dialect/http2/session_test.go
@@ -160,12 +160,16 @@
 	c = p.call(4, 4)
 	p.frames()
 	p.head(3, false, ":status", "100")
-	p.head(3, false, ":status", "200", PartEnd, EndOK, "content-length", "5")
+	p.head(3, false, ":status", "200", PartEnd, EndOK, "content-length", "5", PartLoad, "util=0.5")
 	p.framer.WriteDataPadded(3, false, []byte("va"), []byte{0, 0, 0})
 	p.framer.WriteRawFrame(0x77, 0, 3, []byte("unknown"))
 	p.framer.WriteData(3, false, []byte("lue"))
-	p.head(3, true, PartLoad, "inflight=1")
+	p.head(3, true, PartLoad, "inflight=1,cpu=0.25")
 	p.framer.WriteRSTStream(3, http2.ErrCodeNo)
+	p.feeds()
+	if e := p.got; len(e) != 1 || e[0].Busy != 0.25 {
+		t.Errorf("load reports in head and trailers: events %+v", e)
+	}
 	p.expect("answered 2 0 value")
 	if p.err != nil || len(p.s.streams) > 0 {
 		t.Errorf("error %v, streams %v", p.err, p.s.streams)
--- a/internal/protocol/frames.go
+++ b/internal/protocol/frames.go
@@ -100,7 +100,7 @@
 		if end == OK && m.Sizes.odd(len(value), bad != nil) {
 			return nil, fmt.Errorf("a value of %d bytes with what is no frame behind it", len(value))
 		}
-		return &Reply{string(words[0]), end, bytes.Clone(value), Busy(string(words[3]))}, nil
+		return &Reply{string(words[0]), end, bytes.Clone(value), Busy(string(words[3]), "=")}, nil
 	case 'N':
 		return nil, fmt.Errorf("the replica could not use a frame: %q", cut(rest))
 	}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -377,7 +377,7 @@
 		"inflight=7,util=0.61": 0.61, "active=1,rps=2.5,cpu=0.430": 0.43, "cpu=1.04": 1, "util=-0.01": 0,
 		"-": -1, "": -1, "inflight=7": -1, "cpu=": -1, "cpu=NaN": -1, "cpu=1e9": -1, "cpu=-50": -1, "busy, very": -1, "cpu": -1,
 	} {
-		if got := Busy(report); got != want {
+		if got := Busy(report, "="); got != want {
 			t.Errorf("%q: %v, want %v", report, got, want)
 		}
 	}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"terntray/decide"
+	"terntray/internal/protocol"
 )
 
 var outcomes = map[int64]decide.Outcome{
@@ -487,22 +488,17 @@
 }
 
 // load checks a load report and gives the share of its cores in use that the replica tells, below 0 if it tells none.
-func (f *fields) load(field string) (busy float64) {
+func (f *fields) load(field string) float64 {
 	v := f.text(field)
 	if v == "-" || v == "" {
 		return -1
 	}
-	busy = -1
 	for pair := range strings.SplitSeq(v, ",") {
-		name, figure, ok := strings.Cut(pair, ":")
-		v, err := strconv.ParseFloat(figure, 64)
-		if !ok || err != nil {
+		_, figure, ok := strings.Cut(pair, ":")
+		if _, err := strconv.ParseFloat(figure, 64); !ok || err != nil {
 			f.fault("field %s: %q is no name:value pair", field, pair)
 			return -1
 		}
-		if name == "cpu" {
-			busy = max(0, min(1, v))
-		}
 	}
-	return busy
+	return protocol.Busy(v, ":")
 }
