Take a second step to have as many parts as came, and end what waits for parts in vain

Seen (a probe that stops at the cut-off of a waiting retrieval): step 1, due 3, parts 2, each of weight 0.5; due 2, parts 1 of weight 1. The sender counts fewer parts as in than this co-ordinator saw answered. Ruled out: reused retrieval numbers (none in a record of both directions), parts of the first step that never came. At fault: answer (due from its own count) and settle, which never looked at the clock of a retrieval that waits.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -654,7 +654,10 @@
 // also cover: single parts of that kind, connections that drop. Could hurt: those caught early in a crash.
 func (q *retrieval) doubtful() bool { return q.deaths > 0 && q.in < answersDeath*q.deaths }
 
-func (q *retrieval) waiting() bool { return q.ended || q.due > len(q.parts) }
+// waiting tells whether parts are still to come. A second step's come in one turn, as many as its sender counts.
+func (q *retrieval) waiting() bool {
+	return q.ended || q.due > len(q.parts) && (q.step == 0 || q.goesOn || len(q.parts) == 0)
+}
 
 // bounds are the weights that a whole answer and any answer need at the present step.
 func (q *retrieval) bounds() (need, floor float64) {
@@ -673,6 +676,9 @@
 
 func (c *Coordinator) settle(q *retrieval) {
 	if q.waiting() {
+		if !q.ended && c.now >= q.endAt-endMargin { // what it waits for never came
+			c.giveUp(q)
+		}
 		return
 	}
 	if c.now > q.agreed {
@@ -699,7 +705,7 @@
 		c.end(q, c.now <= q.agreed)
 	default:
 		q.firstWhole = whole
-		c.advance(q, min(q.track.fetch, int(q.in)))
+		c.advance(q, q.track.fetch)
 	}
 }
 
