Count the slowest of many parts and the second step when letting retrievals in

Seen in a record of big-1: from 26 s on, retrievals of 162 parts are sent whole with 500 to 640 ms left (a client's later try), and others end with 154 to 161 of 162 parts in; half of the offered work is wasted. At fault: admit compared one part's finish with the time left, whatever their number, and left nothing for a second step; further looked at a part's last leg only, so a copy that was turned away hid the leg that went on; a later try was given a whole agreed time.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,6 +55,8 @@
 	maxCredit   = 10.0 // further legs; bounds a rush of them when many legs fail at once
 	copyReply   = 0.3  // second copies of stragglers earned by an answer, wherever it came from
 	lastParts   = 1.5  // parts; the copy of a retrieval's only missing part is always worth it
+	lastTimes   = 1.5  // times the expected time of a sound replica; what these wait
+	lastShare   = 12.0 // so are those of the last twelfth of its parts: each saves eleven that were worked on
 	busyFrom    = 0.4  // share of the replicas' cores in use; up to it copies cost nobody
 	busyMost    = 0.7  // the same; beyond, a queue forms at some and each copy makes it longer
 	busyStep    = 0.05 // weight of a report in what that is taken for: about twenty replies, a large retrieval's
@@ -94,6 +96,9 @@
 	flowFades  = 10.0 // seconds in which what went to warm ones is forgotten to a third
 	fewAlike   = 8.0  // co-ordinators; up to so many one sees enough of the work that waits at replicas
 	unseenMore = 0.5  // times the expected finish, for each e-fold of co-ordinators more, that it may take
+	sameShare  = 0.01 // share of a cut-off; first tries differ by less, as they differ by their way here alone
+	sharesKept = 16   // retrievals; the last ones that tell what first tries come with
+	spreads    = 0.5  // times the time of one part, for each e-fold of parts, that the slowest of them takes longer
 	lateSlack  = 0.15 // share of the agreed time by which an estimate must miss it to count
 	overShare  = 0.3  // share of the agreed time that traffic past its tenant's share may expect
 	shareBurst = 2.0  // seconds of its quota that a tenant may send in one go
@@ -153,6 +158,7 @@
 	got                                            float64 // weight of the parts that are in
 	in, ratio, sent                                float64 // parts in, their times over the expected, legs
 	firstWhole, overShare, admitted, ended, judged bool
+	past                                           bool // a later try whose agreed time was over when it came
 	touched                                        bool // something came in for it in this turn
 	let                                            bool // against what is learned of its track
 	goesOn, reserves                               bool // NextStep ends its steps; the first leaves a leg
@@ -185,6 +191,7 @@
 	now, refilled, wakeAt, stalled, shedAt           time.Duration // shedAt: the last turning back
 	behind, reportAt                                 time.Duration // own core's lateness, as told; last load report
 	busy                                             float64       // learned from reports: share of the replicas' cores in use
+	shares                                           []float64     // of their cut-offs that retrievals came with of late
 	flow, warm, blank                                float64       // legs of late to warm replicas, how many there are, share of that time before the start
 	asked                                            []float64     // parts of late, by cell
 
@@ -295,6 +302,11 @@
 	t := &c.tracks[n]
 	q := &retrieval{id: id, number: number, track: t, arrived: now, endAt: now + left, due: parts}
 	q.agreed = now + min(t.agreed+scale(hint, t.stretch), t.cutOff, left)
+	if gone := t.cutOff - left; c.laterTry(float64(left) / float64(t.cutOff)) {
+		if q.agreed = min(q.agreed, now+t.agreed+scale(hint, t.stretch)-gone); q.agreed <= now {
+			q.agreed, q.judged, q.past = q.endAt, true, true
+		}
+	}
 	q.touched = true
 	c.open = append(c.open, q)
 	c.byID[id], c.byNum[number] = q, q
@@ -302,9 +314,25 @@
 	if q.overShare = known && c.allowance[tenant] < 1; known && !q.overShare {
 		c.allowance[tenant]--
 	}
+	q.overShare = q.overShare || q.past
 	c.taken = append(c.taken, now)
 }
 
+// laterTry tells whether a retrieval with this share of its cut-off left must be a client's further try: most of late came
+// with more, it alone with this. What its first tries had is gone then. Guards against: work for agreed times that are over.
+// Could hurt: clients that give up their first tries each after a time of its own are not told from others.
+func (c *Coordinator) laterTry(share float64) bool {
+	usual, more := false, false
+	for n, s := range c.shares {
+		usual = usual || math.Abs(s-share) < sameShare
+		more = more || s > share && slices.ContainsFunc(c.shares[:n], func(o float64) bool { return math.Abs(s-o) < sameShare })
+	}
+	if c.shares = append(c.shares, share); len(c.shares) > sharesKept {
+		c.shares = c.shares[1:]
+	}
+	return more && !usual
+}
+
 func (c *Coordinator) PartArrives(now time.Duration, id RequestID, number RetrievalNumber, shard ShardNumber,
 	weight float64, hint time.Duration) {
 	c.clock(now)
@@ -383,6 +411,9 @@
 		case how == TurnedAway:
 			c.halve(r)
 			c.ceiling[r] = max(1, min(c.ceiling[r], float64(len(c.outs[r]))))
+			if c.unseen > 1 && c.spare(r, t) { // full of what others sent
+				c.setAside(r, nil, "is full")
+			}
 		case how == Unreachable:
 			c.setAside(r, nil, "cannot be reached")
 		case how == Reset && took >= staleTook && (p.of.diedAt != c.now || p.of.suspect != r): // quicker: it idled
@@ -425,8 +456,11 @@
 	if q.in < mostIn*min(1, many)*float64(len(q.parts)-1) {
 		return math.MaxInt64
 	}
-	times = max(leastTimes, times/max(1, many)) * max(1, (1+q.ratio)/(1+q.in))
-	return scale(l.base, times*c.pace[l.at])
+	pace := c.pace[l.at]
+	if times = max(leastTimes, times/max(1, many)); float64(len(q.parts))-q.in <= float64(len(q.parts))/lastShare {
+		times, pace = lastTimes, min(1, pace)
+	}
+	return scale(l.base, times*pace*max(1, (1+q.ratio)/(1+q.in)))
 }
 
 func (c *Coordinator) answered(r replica, t *track, l *leg, took time.Duration) {
@@ -815,6 +849,17 @@
 	}
 }
 
+// slowest is how many times the time of one part the slowest of so many is expected to take.
+func slowest(parts int) float64 { return 1 + spreads*math.Log(float64(max(1, parts))) }
+
+// stepBy is when a retrieval's present step is to end, if what follows is to be in by the agreed time.
+func (c *Coordinator) stepBy(q *retrieval) time.Duration {
+	if q.track.fetch == 0 || q.step > 0 {
+		return q.agreed
+	}
+	return q.agreed - scale(q.track.unit, c.unseen*slowest(q.track.fetch))
+}
+
 func (q *retrieval) reaches(pass func(*part) bool) bool {
 	within := 0.0
 	for _, p := range q.parts {
@@ -872,7 +917,7 @@
 // overload, of all or of the holders of one shard. Should also cover: shards whose holders are all gone.
 // Could hurt: if the expected times are far too long.
 func (c *Coordinator) admit(q *retrieval, mine []*part) {
-	bound, over := scale(q.agreed-q.arrived, (1+lateSlack)/(q.track.longer*c.unseen)), time.Duration(0)
+	bound, over := scale(c.stepBy(q)-q.arrived, (1+lateSlack)/(q.track.longer*c.unseen*slowest(len(q.parts)))), time.Duration(0)
 	if q.overShare {
 		bound = scale(bound, overShare)
 	}
@@ -1079,9 +1124,12 @@
 		if p.in || p.gone || p.held || len(p.legs) == 0 || !c.mayRepeat(p) || !c.mayGoOn() {
 			continue
 		}
-		l := p.legs[len(p.legs)-1]
+		l := p.lastOut()
+		if l == nil {
+			continue
+		}
 		age, many := c.now-l.sentAt, float64(len(q.parts))/fewParts
-		if l.done || age < c.late(l, patience) && !c.stuck(l) {
+		if age < c.late(l, patience) && !c.stuck(l) {
 			continue
 		}
 		best := c.choose(p, func(r replica) time.Duration {
@@ -1093,13 +1141,23 @@
 			}
 			return d
 		})
-		if best != nowhere && (c.copies*c.idle() >= 1 || float64(len(q.parts))-q.in <= lastParts) {
+		if best != nowhere && (c.copies*c.idle() >= 1 || float64(len(q.parts))-q.in <= max(lastParts, float64(len(q.parts))/lastShare)) {
 			c.copies = max(0, c.copies-1)
 			c.send(p, best)
 		}
 	}
 }
 
+// lastOut is the last leg of a part that is out; a copy that came back with nothing must not hide the one that goes on.
+func (p *part) lastOut() (last *leg) {
+	for _, l := range p.legs {
+		if !l.done {
+			last = l
+		}
+	}
+	return last
+}
+
 func (c *Coordinator) coldFor(r replica) bool {
 	return c.tipMultiple > 0 && c.started[r] != LongAgo && c.now-c.started[r] < c.warmAfter+c.tipOver
 }
