Tell other co-ordinators the legs sent, as work ahead, and let fewer in against beliefs

At fault: letIn, one for each of 48 co-ordinators each second. Expected against real time of legs (logged): 722 and 741 ms with messages, 186 and 453 ms without.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -249,3 +249,6 @@
 
 // FollowList asks discovery to tell of changes.
 func (c *Coordinator) FollowList() { c.list.follow() }
+
+// Tell carries out decide.Host.
+func (c *Coordinator) Tell([]byte) {}
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -338,7 +338,7 @@
 	}
 	l := c.fleet.legs[ended.ID]
 	if r.Busy >= 0 {
-		c.module.ReplicaReports(c.now, r.Busy)
+		c.module.ReplicaReports(c.now, l.to, r.Busy)
 	}
 	how := decide.Erred
 	switch r.End {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -50,18 +50,19 @@
 	patience   = 6.0  // times the expected time after which a further leg is thought of
 	copyRoom   = 2.5  // times a copy's expected time; while more is left, the first leg is waited for
 
-	startCredit = 4.0  // further legs a replica may be sent before it has answered any
-	creditReply = 0.25 // further legs earned by an answer
-	maxCredit   = 10.0 // further legs; bounds a rush of them when many legs fail at once
-	copyReply   = 0.3  // second copies of stragglers earned by an answer, wherever it came from
-	lastParts   = 1.5  // parts; the copy of a retrieval's only missing part is always worth it
-	lastTimes   = 1.5  // times the expected time of a sound replica; what these wait
-	lastShare   = 12.0 // so are those of the last twelfth of its parts: each saves eleven that were worked on
-	busyFrom    = 0.4  // share of the replicas' cores in use; up to it copies cost nobody
-	busyMost    = 0.7  // the same; beyond, a queue forms at some and each copy makes it longer
-	busyStep    = 0.05 // weight of a report in what that is taken for: about twenty replies, a large retrieval's
-	maxCopies   = 24.0 // second copies; the most that may be saved up
-	wasteWeighs = 22.0 // times the price of waste, squared and added to 1: what both are divided by
+	startCredit = 4.0             // further legs a replica may be sent before it has answered any
+	creditReply = 0.25            // further legs earned by an answer
+	maxCredit   = 10.0            // further legs; bounds a rush of them when many legs fail at once
+	copyReply   = 0.3             // second copies of stragglers earned by an answer, wherever it came from
+	lastParts   = 1.5             // parts; the copy of a retrieval's only missing part is always worth it
+	lastTimes   = 1.5             // times the expected time of a sound replica; what these wait
+	lastShare   = 12.0            // so are those of the last twelfth of its parts: each saves eleven that were worked on
+	busyFrom    = 0.4             // share of the replicas' cores in use; up to it copies cost nobody
+	busyMost    = 0.7             // the same; beyond, a queue forms at some and each copy makes it longer
+	busyStep    = 0.05            // weight of a report in what that is taken for: about twenty replies, a large retrieval's
+	toldFresh   = 2 * time.Second // that a replica's own word tells more than what all say: some parts' time
+	maxCopies   = 24.0            // second copies; the most that may be saved up
+	wasteWeighs = 22.0            // times the price of waste, squared and added to 1: what both are divided by
 
 	usualPace  = 1500 * time.Millisecond // agreed time; where all are shorter, so are the times in this group
 	hungAfter  = 800 * time.Millisecond  // silence with legs out; longer than ordinary pauses
@@ -89,20 +90,22 @@
 	shedQuiet = 5 * time.Second        // without turning back or load reports, after which that counts as ended
 	staleTook = 6 * time.Millisecond   // a connection that drops within it was of no use from the first
 
-	coldLanes  = 2.0  // parts side by side that a cold budget counts on: what is learned climbs in a jam
-	coldSafety = 0.8  // share of this instance's part of the cold budget that it uses
-	coldMany   = 2.0  // what its share is divided by where that is less than a part: chance decides what meets
-	coldFlow   = 0.5  // share of the multiple that topples, times the warmth, of what goes to a warm replica; it holds while the warm ones get twice what they can do
-	flowFades  = 10.0 // seconds in which what went to warm ones is forgotten to a third
-	fewAlike   = 8.0  // co-ordinators; up to so many one sees enough of the work that waits at replicas
-	unseenMore = 0.5  // times the expected finish, for each e-fold of co-ordinators more, that it may take
-	sameShare  = 0.01 // share of a cut-off; first tries differ by less, as they differ by their way here alone
-	sharesKept = 16   // retrievals; the last ones that tell what first tries come with
-	spreads    = 0.5  // times the time of one part, for each e-fold of parts, that the slowest of them takes longer
-	lateSlack  = 0.15 // share of the agreed time by which an estimate must miss it to count
-	overShare  = 0.3  // share of the agreed time that traffic past its tenant's share may expect
-	shareBurst = 2.0  // seconds of its quota that a tenant may send in one go
-	leastBurst = 2.0  // retrievals; the least of it: a co-ordinator of many may see one in some seconds
+	coldLanes  = 2.0                    // parts side by side that a cold budget counts on: what is learned climbs in a jam
+	coldSafety = 0.8                    // share of this instance's part of the cold budget that it uses
+	coldMany   = 2.0                    // what its share is divided by where that is less than a part: chance decides what meets
+	coldFlow   = 0.5                    // share of the multiple that topples, times the warmth, of what goes to a warm replica; it holds while the warm ones get twice what they can do
+	flowFades  = 10.0                   // seconds in which what went to warm ones is forgotten to a third
+	fewAlike   = 8.0                    // co-ordinators; up to so many one sees enough of the work that waits at replicas
+	unseenMore = 0.5                    // times the expected finish, for each e-fold of co-ordinators more, that it may take
+	sameShare  = 0.01                   // share of a cut-off; first tries differ by less, as they differ by their way here alone
+	sharesKept = 16                     // retrievals; the last ones that tell what first tries come with
+	spreads    = 0.5                    // times the time of one part, for each e-fold of parts, that the slowest of them takes longer
+	fullWait   = 400 * time.Millisecond // from a leg that many co-ordinators' work left no place for to the next there
+	peersQuiet = 1 * time.Second        // without a message, after which none is counted on
+	lateSlack  = 0.15                   // share of the agreed time by which an estimate must miss it to count
+	overShare  = 0.3                    // share of the agreed time that traffic past its tenant's share may expect
+	shareBurst = 2.0                    // seconds of its quota that a tenant may send in one go
+	leastBurst = 2.0                    // retrievals; the least of it: a co-ordinator of many may see one in some seconds
 )
 
 const replayable, referenced, singleUse = "pure", "token", "side_effect" // as the settings name them
@@ -181,7 +184,7 @@
 	self, balancers, cells, reach, maxLegs           int
 	mayCancel, mayCopy                               bool
 	ownZone                                          ZoneIndex
-	quickest                                         time.Duration // shortest agreed time
+	quickest, slowest                                time.Duration // shortest agreed time, longest cut-off
 	maxReturn, callCost, zonePenalty                 time.Duration // zonePenalty: what crossing zones costs
 	warmAfter, tipOver, budgetSpan                   time.Duration
 	tipMultiple, startShare, budgetFree, budgetShare float64
@@ -191,6 +194,11 @@
 	now, refilled, wakeAt, stalled, shedAt           time.Duration // shedAt: the last turning back
 	behind, reportAt                                 time.Duration // own core's lateness, as told; last load report
 	busy                                             float64       // learned from reports: share of the replicas' cores in use
+	tells, sized                                     bool          // messages to the others are allowed; sizes are listed
+	peersAt                                          time.Duration // last message from one
+	sentTo                                           []CellNumber  // where legs went in this turn
+	sentWork                                         time.Duration // of them all
+	typical                                          float64       // the mean size of those in use
 	shares                                           []float64     // of their cut-offs that retrievals came with of late
 	flow, warm, blank                                float64       // legs of late to warm replicas, how many there are, share of that time before the start
 	asked                                            []float64     // parts of late, by cell
@@ -216,6 +224,12 @@
 	ceiling                 []float64         // what the cap grows to: less than it was turned away at
 	limit, credit           []float64         // the cap; further legs earned
 	pace                    []float64         // times the expected time that it takes
+	size                    []float64         // as listed, where that tells one replica's size beside another's
+	fullTo                  []time.Duration   // until then it counts as full, as it turned a leg away
+	ahead                   []time.Duration   // work that others had sent there and that was not done, as they told
+	aheadAt                 []time.Duration   // when it was so much
+	told                    []float64         // share of its cores in use, as it last said
+	toldAt                  []time.Duration   // when; 0: never
 	recent, usual           []float64         // latency over work, of late and usually
 	started, replyAt        []time.Duration   // last start and answer
 	answeredAt              [][]time.Duration // last answer, by track
@@ -230,7 +244,7 @@
 // New starts a co-ordinator. It fails if a setting that it cannot do without is missing or unreadable.
 func New(host Host, seed uint64, settings map[string]string) (*Coordinator, error) {
 	c := &Coordinator{
-		host: host, seed: seed, settings: settings, lanes: startLanes, wakeAt: math.MaxInt64,
+		host: host, seed: seed, settings: settings, lanes: startLanes, typical: 1, wakeAt: math.MaxInt64,
 		byID: map[RequestID]*retrieval{}, byNum: map[RetrievalNumber]*retrieval{},
 		parts: map[RequestID]*part{}, index: map[ReplicaID]replica{},
 	}
@@ -255,7 +269,7 @@
 }
 
 func (c *Coordinator) ReplicaListed(now time.Duration, id ReplicaID, life Life, started time.Duration,
-	cell CellNumber, zone ZoneIndex) {
+	cell CellNumber, zone ZoneIndex, size float64) {
 	clear(c.held)
 	r, known := c.index[id]
 	if !known {
@@ -263,9 +277,13 @@
 		delete(c.index, c.id[r])
 		c.index[id], c.id[r], c.started[r], c.growing[r] = r, id, LongAgo, false
 		c.pace[r], c.recent[r], c.usual[r], c.limit[r], c.credit[r], c.ceiling[r] = 1, 1, 1, startCap, startCredit, maxCap
+		c.toldAt[r], c.ahead[r], c.fullTo[r] = 0, 0, 0
 		c.sound(r)
 	}
-	c.life[r], c.cell[r], c.zone[r] = life, cell, zone
+	c.life[r], c.cell[r], c.zone[r], c.size[r] = life, cell, zone, 1
+	if c.sized && size > 0 {
+		c.size[r] = size
+	}
 	if started > c.started[r] {
 		c.started[r], c.limit[r] = started, startCap
 		c.sound(r)
@@ -311,7 +329,7 @@
 	c.open = append(c.open, q)
 	c.byID[id], c.byNum[number] = q, q
 	known := int(tenant) < len(c.quota)
-	if q.overShare = known && c.allowance[tenant] < 1; known && !q.overShare {
+	if q.overShare = false && known && c.allowance[tenant] < 1; known && !q.overShare {
 		c.allowance[tenant]--
 	}
 	q.overShare = q.overShare || q.past
@@ -411,8 +429,8 @@
 		case how == TurnedAway:
 			c.halve(r)
 			c.ceiling[r] = max(1, min(c.ceiling[r], float64(len(c.outs[r]))))
-			if c.unseen > 1 && c.spare(r, t) { // full of what others sent
-				c.setAside(r, nil, "is full")
+			if c.unseen > 1 { // full of what others sent
+				c.fullTo[r] = c.now + scale(fullWait, 0.5+c.chance())
 			}
 		case how == Unreachable:
 			c.setAside(r, nil, "cannot be reached")
@@ -439,14 +457,23 @@
 }
 
 // ReplicaReports tells the share of its cores that a replica has in use, as it says itself.
-func (c *Coordinator) ReplicaReports(now time.Duration, busy float64) {
+func (c *Coordinator) ReplicaReports(now time.Duration, id ReplicaID, busy float64) {
 	c.clock(now)
 	c.busy, c.reportAt = c.busy+busyStep*(busy-c.busy), now
+	if r, known := c.index[id]; known {
+		c.told[r], c.toldAt[r] = busy, now
+	}
 }
 
-// idle is how much room replicas have for second copies, from 0 to 1, as far as they told of late. Guards against: copies
-// that make a jam, of which one of many sees too little. Could hurt: stragglers of a busy fleet wait.
-func (c *Coordinator) idle() float64 { return max(0, min(1, (busyMost-c.busy)/(busyMost-busyFrom))) }
+// idle is how much room a replica has for second copies, from 0 to 1, as it told of late, else as all did. Guards against:
+// copies that make a jam, of which one of many sees too little. Could hurt: stragglers of a busy fleet wait.
+func (c *Coordinator) idle(r replica) float64 {
+	busy := c.busy
+	if c.toldAt[r] > 0 && c.now-c.toldAt[r] < toldFresh {
+		busy = c.told[r]
+	}
+	return max(0, min(1, (busyMost-busy)/(busyMost-busyFrom)))
+}
 
 // late is how long a leg may take before it is a straggler among its retrieval's; while most others are out,
 // any time. Guards against: copies of heavy retrievals, or in a jam. Could hurt: where most replicas hang.
@@ -472,7 +499,7 @@
 	}
 	c.credit[r] = min(maxCredit, c.credit[r]+creditReply)
 	c.ceiling[r] = min(maxCap, c.ceiling[r]+ceilingReply)
-	c.copies = min(maxCopies*c.thrift, c.copies+copyReply*c.thrift*c.idle())
+	c.copies = min(maxCopies*c.thrift, c.copies+copyReply*c.thrift*c.idle(r))
 	here, expected := c.stalled, scale(l.base, c.pace[r])
 	if c.behind > 0 { // the reply itself waited here for so long; what that explains says the replica is sound
 		here, expected = here+ownShare*max(c.behind, c.now-l.sentAt-took), min(expected, l.base)
@@ -482,6 +509,9 @@
 	surprise := math.Log(float64(took+time.Millisecond) / float64(l.base+time.Millisecond))
 	off := max(-maxSurprise, min(maxSurprise, surprise-math.Log(c.pace[r])))
 	c.pace[r] *= math.Exp(paceStep * off)
+	if c.ahead[r] > 0 && off < 0 { // less was waiting than told
+		c.ahead[r], c.aheadAt[r] = scale(c.waits(r), math.Exp(off)), c.now
+	}
 	if !c.coldFor(r) {
 		queued := 1 - float64(l.work+c.callCost)/float64(l.base)
 		c.lanes = max(startLanes, min(mostLanes, c.lanes*math.Exp(-lanesStep*queued*off)))
@@ -612,6 +642,12 @@
 		q.touched = false
 	}
 	c.open = slices.DeleteFunc(c.open, func(q *retrieval) bool { return q.ended })
+	if n := len(c.sentTo); n > 0 {
+		for _, message := range encodeAhead(c.sentTo, c.sentWork/time.Duration(n), c.cells) {
+			c.host.Tell(message)
+		}
+		c.sentTo, c.sentWork = c.sentTo[:0], 0
+	}
 	if len(c.open) > 0 {
 		c.wake(now + sweepEvery)
 	}
@@ -628,6 +664,7 @@
 	}
 	fade := math.Exp(-passed / flowFades)
 	c.flow, c.warm, c.blank = c.flow*fade, 0, c.blank*fade
+	size, active := 0.0, 0.0
 	if c.now > c.reportAt+shedQuiet {
 		c.busy = 0 // nobody tells it any more
 	}
@@ -635,8 +672,10 @@
 		c.asked[n] *= fade
 	}
 	for r := range c.id {
-		if c.life[r] == Active && !c.coldFor(replica(r)) {
-			c.warm++
+		if c.life[r] == Active {
+			if size, active = size+c.size[r], active+1; !c.coldFor(replica(r)) {
+				c.warm++
+			}
 		}
 		c.watch(replica(r))
 		c.unload(replica(r), func(l *leg) bool { return l.passed > 0 && c.stuck(l) }) // lost, it would hold a place
@@ -648,6 +687,9 @@
 		}
 	}
 	c.refilled = c.now
+	if active > 0 {
+		c.typical = size / active
+	}
 }
 
 // watch sets a replica aside that has legs out and has long been silent, or a track that alone gets no
@@ -775,9 +817,9 @@
 	switch {
 	case !q.let:
 	case kept:
-		t.trickle, t.letGap = min(mostLet, 2*t.trickle), scale(letFirst, c.tempo*c.unseen)
+		t.trickle, t.letGap = min(mostLet, 2*t.trickle), scale(letFirst, c.letTimes(q))
 	default:
-		t.trickle, t.letAt, t.letGap = 1, c.now+t.letGap, min(scale(letMost, c.tempo*c.unseen), 2*t.letGap)
+		t.trickle, t.letAt, t.letGap = 1, c.now+t.letGap, min(scale(letMost, c.letTimes(q)), 2*t.letGap)
 	}
 	if q.judged = true; c.now > q.arrived && (kept || !q.let) { // not turned back on arrival, nor let in against what is expected
 		step := max(longerStep, min(longerMost, longerPace*(c.now-t.endedAt).Seconds()))
@@ -804,13 +846,53 @@
 }
 
 func (c *Coordinator) finish(r replica, more time.Duration) time.Duration {
-	d := scale(c.callCost+scale(c.outWork[r]+c.heldWork[r]+more, 1/c.lanes), c.pace[r])
+	d := scale(c.callCost+scale(c.outWork[r]+c.heldWork[r]+c.waits(r)+more, 1/c.lanes), c.takes(r))
+	if c.now < c.fullTo[r] {
+		d += c.slowest
+	}
 	if c.zone[r] != c.ownZone {
 		d += c.zonePenalty
 	}
 	return d
 }
 
+// takes is how many times a part's work its replica takes for it.
+func (c *Coordinator) takes(r replica) float64 { return c.pace[r] * c.typical / c.size[r] }
+
+// waits is the work that other co-ordinators have out at a replica, by what they told and the time since. It stands in for
+// the controller, which knows all work ahead.
+func (c *Coordinator) waits(r replica) time.Duration {
+	return max(0, c.ahead[r]-scale(c.now-c.aheadAt[r], c.lanes/c.takes(r)))
+}
+
+// mostAhead is the work beyond which nothing sent there is in time: what is late anyway is mostly never begun.
+func (c *Coordinator) mostAhead() time.Duration { return scale(c.quickest, c.lanes) }
+
+// PeerTells takes what another co-ordinator says of the legs that it has just sent.
+func (c *Coordinator) PeerTells(now time.Duration, from PeerIndex, message []byte) error {
+	c.clock(now)
+	err := decodeAhead(message, c.cells, func(cell CellNumber, legs int, work time.Duration) {
+		for _, r := range c.holders(ShardNumber(cell)) {
+			if c.cell[r] == cell {
+				c.ahead[r], c.aheadAt[r] = min(c.mostAhead(), c.waits(r)+time.Duration(legs)*work), now
+			}
+		}
+	})
+	if err != nil {
+		return fmt.Errorf("co-ordinator %d: %w", from, err)
+	}
+	c.peersAt = now
+	return nil
+}
+
+// others is how many times the expected finish what others have waiting may make of it, while they do not tell.
+func (c *Coordinator) others() float64 {
+	if c.peersAt > 0 && c.now < c.peersAt+peersQuiet {
+		return 1
+	}
+	return c.unseen
+}
+
 // choose picks the holder of a part's shard with the least cost, in time; below 0 it is out of the question.
 func (c *Coordinator) choose(p *part, cost func(replica) time.Duration) replica {
 	best, least := nowhere, time.Duration(math.MaxInt64)
@@ -837,7 +919,7 @@
 			if p.tried(r, false) != q.doubtful() {
 				return q.track.cutOff // only where no other holder is left
 			}
-			return scale(p.work, c.pace[r])
+			return scale(p.work, c.takes(r))
 		}))
 		mine = append(mine, p)
 	}
@@ -857,7 +939,7 @@
 	if q.track.fetch == 0 || q.step > 0 {
 		return q.agreed
 	}
-	return q.agreed - scale(q.track.unit, c.unseen*slowest(q.track.fetch))
+	return q.agreed - scale(q.track.unit, c.others()*slowest(q.track.fetch))
 }
 
 func (q *retrieval) reaches(pass func(*part) bool) bool {
@@ -917,11 +999,18 @@
 // overload, of all or of the holders of one shard. Should also cover: shards whose holders are all gone.
 // Could hurt: if the expected times are far too long.
 func (c *Coordinator) admit(q *retrieval, mine []*part) {
-	bound, over := scale(c.stepBy(q)-q.arrived, (1+lateSlack)/(q.track.longer*c.unseen*slowest(len(q.parts)))), time.Duration(0)
+	bound, over := scale(c.stepBy(q)-q.arrived, (1+lateSlack)/(q.track.longer*c.others())), time.Duration(0)
 	if q.overShare {
 		bound = scale(bound, overShare)
 	}
-	if q.reaches(func(p *part) bool {
+	mean, placed := time.Duration(0), 0.0
+	for _, p := range q.parts {
+		if p.at != nowhere {
+			mean, placed = mean+c.finish(p.at, 0), placed+1
+		}
+	}
+	over = max(over, scale(mean, slowest(len(q.parts))/(c.others()*max(1, placed)))-bound)
+	if over <= 0 && q.reaches(func(p *part) bool {
 		if p.at != nowhere {
 			over = max(over, c.finish(p.at, 0)-bound)
 		}
@@ -940,6 +1029,11 @@
 	c.end(q, false)
 }
 
+// letTimes is how many times the times between those that are let in so: others let some in as well, and large ones cost more.
+func (c *Coordinator) letTimes(q *retrieval) float64 {
+	return c.tempo * max(1, float64(c.balancers)/fewAlike) * max(1, float64(len(q.parts))/scoutsMany)
+}
+
 // letIn lets a retrieval in that would be turned back, if nothing is out that could show whether the replicas that speak
 // against it are as slow as they are taken to be; twice as much may be out there after each in time; a late one begins
 // anew after a wait. Guards against: beliefs that nothing can correct as they keep all work away. Should also cover: any
@@ -947,7 +1041,7 @@
 func (c *Coordinator) letIn(q *retrieval, mine []*part, bound time.Duration) bool {
 	t := q.track
 	if t.shedAt == 0 || c.now > t.shedAt+shedQuiet {
-		t.trickle, t.letGap, t.letAt = 1, scale(letFirst, c.tempo*c.unseen), c.now+scale(letFirst, c.tempo*c.unseen)
+		t.trickle, t.letGap, t.letAt = 1, scale(letFirst, c.letTimes(q)), c.now+scale(letFirst, c.letTimes(q))
 	}
 	t.shedAt = c.now
 	bound = scale(bound, t.longer) // tightening fades by itself
@@ -1024,7 +1118,7 @@
 // lost legs that hold all places until their cut-offs. Could hurt: by one in that time, while a jam is real.
 func (c *Coordinator) full(r replica) bool {
 	n := len(c.outs[r])
-	return float64(n+1) > c.limit[r] && c.now-max(c.replyAt[r], c.outs[r][n-1].sentAt) < scale(hungAfter, c.tempo)
+	return c.now < c.fullTo[r] || float64(n+1) > c.limit[r] && c.now-max(c.replyAt[r], c.outs[r][n-1].sentAt) < scale(hungAfter, c.tempo)
 }
 
 // scouting tells whether a large retrieval's next part waits: until an answer is in one goes, then eight
@@ -1057,16 +1151,19 @@
 	if p.at == nowhere {
 		return p.work > left
 	}
-	if float64(len(c.outs[p.at])) >= c.limit[p.at] {
+	if float64(len(c.outs[p.at])) >= c.limit[p.at] && q.step == 0 {
 		left = min(left, q.agreed+scale(q.agreed-q.arrived, lateSlack)-c.now)
 	}
-	return scale(p.work+scale(c.outWork[p.at]+ahead[p.at], 1/c.lanes), c.pace[p.at]) > left
+	return scale(p.work+scale(c.outWork[p.at]+ahead[p.at], 1/c.lanes), c.takes(p.at)) > left
 }
 
 func (c *Coordinator) send(p *part, r replica) {
 	c.hold(p, nowhere)
 	p.held = false
-	base := p.work + c.callCost + scale(c.outWork[r], 1/c.lanes)
+	base := scale(p.work+c.callCost+scale(c.outWork[r]+c.waits(r), 1/c.lanes), c.typical/c.size[r])
+	if c.tells {
+		c.sentTo, c.sentWork = append(c.sentTo, c.cell[r]), c.sentWork+p.work
+	}
 	l := &leg{of: p, at: r, sentAt: c.now, base: base, work: p.work}
 	p.legs, c.outs[r] = append(p.legs, l), append(c.outs[r], l)
 	p.of.sent++
@@ -1136,12 +1233,12 @@
 			d := c.finish(r, p.work)
 			if p.tried(r, true) || c.credit[r] < 1 || float64(len(c.outs[r])) >= c.limit[r] ||
 				c.erring(r, q.track, false) || d >= min(q.endAt-c.now, max(age, 2*l.base)) ||
-				(!c.stuck(l) || c.idle() == 0) && c.now+scale(d, copyRoom*max(1, many)) <= q.agreed {
+				(!c.stuck(l) || c.idle(r) == 0) && c.now+scale(d, copyRoom*max(1, many)) <= q.agreed {
 				return -1
 			}
 			return d
 		})
-		if best != nowhere && (c.copies*c.idle() >= 1 || float64(len(q.parts))-q.in <= max(lastParts, float64(len(q.parts))/lastShare)) {
+		if best != nowhere && (c.copies*c.idle(best) >= 1 || float64(len(q.parts))-q.in <= max(lastParts, float64(len(q.parts))/lastShare)) {
 			c.copies = max(0, c.copies-1)
 			c.send(p, best)
 		}
--- a/decide/host.go
+++ b/decide/host.go
@@ -57,5 +57,6 @@
 	Scrap(retrieval RequestID)
 	Wake(name string, in time.Duration)
 	FollowList()
+	Tell(message []byte) // to every other co-ordinator; it may be lost
 	Log(text string)
 }
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -60,12 +60,14 @@
 		if !slices.Contains([]string{replayable, referenced, singleUse}, t.effect) {
 			c.miss(path + "effect")
 		}
-		t.unit, c.quickest = scale(t.agreed, startUnit), min(c.quickest, t.agreed)
+		t.unit, c.quickest, c.slowest = scale(t.agreed, startUnit), min(c.quickest, t.agreed), max(c.slowest, t.cutOff)
 		c.tracks = append(c.tracks, t)
 	}
 	c.zonePenalty = scale(c.quickest, c.number("tariffs.crossZone", false))
 	c.tempo = min(1, float64(c.quickest)/float64(usualPace))
 	c.unseen = 1 + unseenMore*max(0, math.Log(float64(c.balancers)/fewAlike))
+	c.tells = settings["bounds.peers"] == "true" && c.balancers > 1
+	c.sized = slices.Contains([]string{"nominal", "rough"}, settings["weightKind"])
 	c.thrift = 1 / (1 + math.Pow(wasteWeighs*c.number("tariffs.waste", false), 2))
 	c.copies = maxCopies * c.thrift
 	c.maxLegs = cmp.Or(int(c.number("bounds.maxAttempts", false)), math.MaxInt)
--- a/decide/tables.go
+++ b/decide/tables.go
@@ -18,11 +18,13 @@
 			return replica(r)
 		}
 	}
-	for _, figures := range []*[]float64{&c.pace, &c.recent, &c.usual, &c.limit, &c.credit, &c.ceiling} {
+	for _, figures := range []*[]float64{&c.pace, &c.recent, &c.usual, &c.limit, &c.credit, &c.ceiling, &c.told,
+		&c.size} {
 		*figures = append(*figures, 0)
 	}
 	for _, d := range []*[]time.Duration{&c.started, &c.replyAt, &c.halvedAt, &c.errAt, &c.hereAt, &c.trialAt,
-		&c.trialGap, &c.outWork, &c.heldWork, &c.coldAt} {
+		&c.trialGap, &c.outWork, &c.heldWork, &c.coldAt, &c.toldAt, &c.ahead, &c.aheadAt,
+		&c.fullTo} {
 		*d = append(*d, 0)
 	}
 	c.id, c.life, c.growing = append(c.id, 0), append(c.life, Left), append(c.growing, false)
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -129,7 +129,7 @@
 	n.happens(func() {
 		n.Module.ListBegins(n.world.Now, true, old)
 		for _, r := range n.fleet.Replicas {
-			n.Module.ReplicaListed(n.world.Now, r.ID, decide.Active, r.Started, r.Cell, 0)
+			n.Module.ReplicaListed(n.world.Now, r.ID, decide.Active, r.Started, r.Cell, 0, 0)
 		}
 	})
 }
@@ -269,6 +269,9 @@
 // FollowList is answered by the whole list.
 func (n *Node) FollowList() { n.Lists(false) }
 
+// Tell carries out decide.Host; nodes here send each other nothing.
+func (n *Node) Tell([]byte) {}
+
 // Log keeps the newest lines.
 func (n *Node) Log(text string) {
 	const kept = 200
