--- a/decide/ahead.go
+++ b/decide/ahead.go
@@ -13,37 +13,48 @@
 
 const (
 	aheadMark    = 0xa7                   // the first byte: so told, version 1
-	aheadHead    = 4                      // the mark, how the cells follow, and the mean work of a leg
+	aheadHead    = 5                      // the mark, how the cells follow, the mean work of a leg, how many tenants follow
 	aheadUnit    = 100 * time.Microsecond // of that work
 	aheadList    = 0                      // a cell for each leg
 	aheadMap     = 1                      // two bits for each cell: its legs, three at the most
 	mostMessage  = 256                    // bytes
 	mostOfMap    = 3
-	mostOfCells  = (mostMessage - aheadHead) / 2 // legs that a list holds whatever their cells
+	mostTenants  = 16                                          // in one message, each for a retrieval let in
+	mostOfCells  = (mostMessage - aheadHead - mostTenants) / 3 // legs that a list holds, as a cell takes three bytes at the most
 	cellsOfAByte = 4
 )
 
 var errAhead = errors.New("the message is none that co-ordinators of this kind send")
 
-// encodeAhead tells legs by the cells they went to, and their mean work, in as few bytes as it takes.
-func encodeAhead(to []CellNumber, work time.Duration, cells int) (messages [][]byte) {
+// encodeAhead tells legs by the cells they went to, and their mean work, in as few bytes as it takes, and whose retrievals
+// were let in.
+func encodeAhead(to []CellNumber, work time.Duration, tenants []TenantIndex, cells int) (messages [][]byte) {
 	head := func(how byte) []byte {
-		return binary.BigEndian.AppendUint16([]byte{aheadMark, how}, uint16(min(0xffff, work/aheadUnit)))
+		some := tenants[:min(len(tenants), mostTenants)]
+		tenants = tenants[len(some):]
+		h := append(binary.BigEndian.AppendUint16([]byte{aheadMark, how}, uint16(min(0xffff, work/aheadUnit))), byte(len(some)))
+		for _, t := range some {
+			h = append(h, byte(t))
+		}
+		return h
 	}
+	size := aheadHead + mostTenants + (cells+cellsOfAByte-1)/cellsOfAByte
 	for len(to) > 0 {
 		some := to[:min(len(to), mostOfCells)]
-		list := head(aheadList)
-		for _, cell := range some {
-			list = binary.AppendUvarint(list, uint64(cell))
-		}
-		if size := aheadHead + (cells+cellsOfAByte-1)/cellsOfAByte; size > mostMessage || size >= len(list) && len(some) == len(to) {
+		if size > mostMessage || len(some) == len(to) && len(to) < size-aheadHead-mostTenants {
+			list := head(aheadList)
+			for _, cell := range some {
+				list = binary.AppendUvarint(list, uint64(cell))
+			}
 			messages, to = append(messages, list), to[len(some):]
 			continue
 		}
-		full := append(head(aheadMap), make([]byte, (cells+cellsOfAByte-1)/cellsOfAByte)...)
+		full := head(aheadMap)
+		from := len(full)
+		full = append(full, make([]byte, (cells+cellsOfAByte-1)/cellsOfAByte)...)
 		var rest []CellNumber
 		for _, cell := range to {
-			at, shift := aheadHead+int(cell)/cellsOfAByte, 2*(int(cell)%cellsOfAByte)
+			at, shift := from+int(cell)/cellsOfAByte, 2*(int(cell)%cellsOfAByte)
 			if full[at]>>shift&mostOfMap == mostOfMap {
 				rest = append(rest, cell)
 				continue
@@ -55,16 +66,22 @@
 	return messages
 }
 
-// decodeAhead gives for each cell how many legs went there, and their mean work.
-func decodeAhead(message []byte, cells int, told func(cell CellNumber, legs int, work time.Duration)) error {
-	if len(message) <= aheadHead || len(message) > mostMessage || message[0] != aheadMark || message[1] > aheadMap {
+// decodeAhead gives for each cell how many legs went there, and their mean work, and each tenant of a retrieval let in; nothing
+// of a message that is not sound.
+func decodeAhead(message []byte, cells int, told func(cell CellNumber, legs int, work time.Duration), in func(TenantIndex)) error {
+	if len(message) <= aheadHead || len(message) > mostMessage || message[0] != aheadMark || message[1] > aheadMap ||
+		message[4] > mostTenants || len(message) <= aheadHead+int(message[4]) {
 		return errAhead
 	}
-	work, body := time.Duration(binary.BigEndian.Uint16(message[2:]))*aheadUnit, message[aheadHead:]
+	work, body := time.Duration(binary.BigEndian.Uint16(message[2:]))*aheadUnit, message[aheadHead+int(message[4]):]
+	tenants := message[aheadHead : aheadHead+int(message[4])]
 	if message[1] == aheadMap {
 		if len(body) != (cells+cellsOfAByte-1)/cellsOfAByte {
 			return errAhead
 		}
+		for _, t := range tenants {
+			in(TenantIndex(t))
+		}
 		for cell := range cells {
 			if legs := int(body[cell/cellsOfAByte] >> (2 * (cell % cellsOfAByte)) & mostOfMap); legs > 0 {
 				told(CellNumber(cell), legs, work)
@@ -80,6 +97,9 @@
 		}
 		all, body = append(all, CellNumber(cell)), body[n:]
 	}
+	for _, t := range tenants {
+		in(TenantIndex(t))
+	}
 	for _, cell := range all {
 		told(cell, 1, work)
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -161,6 +161,7 @@
 	got                                            float64 // weight of the parts that are in
 	in, ratio, sent                                float64 // parts in, their times over the expected, legs
 	firstWhole, overShare, admitted, ended, judged bool
+	tenant                                         TenantIndex
 	past                                           bool // a later try whose agreed time was over when it came
 	touched                                        bool // something came in for it in this turn
 	let                                            bool // against what is learned of its track
@@ -198,10 +199,11 @@
 	peersAt                                          time.Duration // last message from one
 	sentTo                                           []CellNumber  // where legs went in this turn
 	sentWork                                         time.Duration // of them all
+	sentFor                                          []TenantIndex // of the retrievals that were let in
 	typical                                          float64       // the mean size of those in use
 	shares                                           []float64     // of their cut-offs that retrievals came with of late
 	flow, warm, blank                                float64       // legs of late to warm replicas, how many there are, share of that time before the start
-	asked                                            []float64     // parts of late, by cell
+	asked, served                                    []float64     // by cell: parts of late, holders in use
 
 	open           []*retrieval // in order of arrival
 	byID           map[RequestID]*retrieval
@@ -226,6 +228,7 @@
 	pace                    []float64         // times the expected time that it takes
 	size                    []float64         // as listed, where that tells one replica's size beside another's
 	fullTo                  []time.Duration   // until then it counts as full, as it turned a leg away
+	demand                  []float64         // the shards that it holds, each shared with its other holders in use
 	ahead                   []time.Duration   // work that others had sent there and that was not done, as they told
 	aheadAt                 []time.Duration   // when it was so much
 	told                    []float64         // share of its cores in use, as it last said
@@ -277,7 +280,7 @@
 		delete(c.index, c.id[r])
 		c.index[id], c.id[r], c.started[r], c.growing[r] = r, id, LongAgo, false
 		c.pace[r], c.recent[r], c.usual[r], c.limit[r], c.credit[r], c.ceiling[r] = 1, 1, 1, startCap, startCredit, maxCap
-		c.toldAt[r], c.ahead[r], c.fullTo[r] = 0, 0, 0
+		c.toldAt[r], c.ahead[r], c.fullTo[r], c.demand[r] = 0, 0, 0, 1
 		c.sound(r)
 	}
 	c.life[r], c.cell[r], c.zone[r], c.size[r] = life, cell, zone, 1
@@ -329,9 +332,12 @@
 	c.open = append(c.open, q)
 	c.byID[id], c.byNum[number] = q, q
 	known := int(tenant) < len(c.quota)
-	if q.overShare = false && known && c.allowance[tenant] < 1; known && !q.overShare {
+	if q.overShare = known && c.allowance[tenant] < 1 && (c.unseen <= 1 || c.heard()); known && !q.overShare {
 		c.allowance[tenant]--
 	}
+	if known {
+		q.tenant = tenant
+	}
 	q.overShare = q.overShare || q.past
 	c.taken = append(c.taken, now)
 }
@@ -643,10 +649,10 @@
 	}
 	c.open = slices.DeleteFunc(c.open, func(q *retrieval) bool { return q.ended })
 	if n := len(c.sentTo); n > 0 {
-		for _, message := range encodeAhead(c.sentTo, c.sentWork/time.Duration(n), c.cells) {
+		for _, message := range encodeAhead(c.sentTo, c.sentWork/time.Duration(n), c.sentFor, c.cells) {
 			c.host.Tell(message)
 		}
-		c.sentTo, c.sentWork = c.sentTo[:0], 0
+		c.sentTo, c.sentWork, c.sentFor = c.sentTo[:0], 0, c.sentFor[:0]
 	}
 	if len(c.open) > 0 {
 		c.wake(now + sweepEvery)
@@ -665,6 +671,12 @@
 	fade := math.Exp(-passed / flowFades)
 	c.flow, c.warm, c.blank = c.flow*fade, 0, c.blank*fade
 	size, active := 0.0, 0.0
+	clear(c.served)
+	for r := range c.id {
+		for back := 0; c.life[r] == Active && slices.Contains(c.aside[r], false) && back < c.reach; back++ {
+			c.served[(int(c.cell[r])-back+c.cells)%c.cells]++
+		}
+	}
 	if c.now > c.reportAt+shedQuiet {
 		c.busy = 0 // nobody tells it any more
 	}
@@ -677,6 +689,10 @@
 				c.warm++
 			}
 		}
+		c.demand[r] = 0
+		for back := range c.reach {
+			c.demand[r] += 1 / max(1, c.served[(int(c.cell[r])-back+c.cells)%c.cells])
+		}
 		c.watch(replica(r))
 		c.unload(replica(r), func(l *leg) bool { return l.passed > 0 && c.stuck(l) }) // lost, it would hold a place
 		if c.life[r] != Left {
@@ -850,6 +866,9 @@
 	if c.now < c.fullTo[r] {
 		d += c.slowest
 	}
+	if c.unseen > 1 && !c.heard() {
+		d = scale(d, c.demand[r])
+	}
 	if c.zone[r] != c.ownZone {
 		d += c.zonePenalty
 	}
@@ -877,6 +896,10 @@
 				c.ahead[r], c.aheadAt[r] = min(c.mostAhead(), c.waits(r)+time.Duration(legs)*work), now
 			}
 		}
+	}, func(tenant TenantIndex) {
+		if int(tenant) < len(c.quota) {
+			c.allowance[tenant] = max(0, c.allowance[tenant]-1)
+		}
 	})
 	if err != nil {
 		return fmt.Errorf("co-ordinator %d: %w", from, err)
@@ -887,12 +910,15 @@
 
 // others is how many times the expected finish what others have waiting may make of it, while they do not tell.
 func (c *Coordinator) others() float64 {
-	if c.peersAt > 0 && c.now < c.peersAt+peersQuiet {
+	if c.heard() {
 		return 1
 	}
 	return c.unseen
 }
 
+// heard tells whether the others tell what they send.
+func (c *Coordinator) heard() bool { return c.peersAt > 0 && c.now < c.peersAt+peersQuiet }
+
 // choose picks the holder of a part's shard with the least cost, in time; below 0 it is out of the question.
 func (c *Coordinator) choose(p *part, cost func(replica) time.Duration) replica {
 	best, least := nowhere, time.Duration(math.MaxInt64)
@@ -919,6 +945,9 @@
 			if p.tried(r, false) != q.doubtful() {
 				return q.track.cutOff // only where no other holder is left
 			}
+			if c.unseen > 1 && !c.heard() {
+				return scale(p.work, c.takes(r)*c.demand[r])
+			}
 			return scale(p.work, c.takes(r))
 		}))
 		mine = append(mine, p)
@@ -1009,7 +1038,11 @@
 			mean, placed = mean+c.finish(p.at, 0), placed+1
 		}
 	}
-	over = max(over, scale(mean, slowest(len(q.parts))/(c.others()*max(1, placed)))-bound)
+	steps := slowest(len(q.parts))
+	if q.track.fetch > 0 && q.step == 0 {
+		steps += slowest(q.track.fetch)
+	}
+	over = max(over, scale(mean, steps/(c.others()*max(1, placed)))-bound)
 	if over <= 0 && q.reaches(func(p *part) bool {
 		if p.at != nowhere {
 			over = max(over, c.finish(p.at, 0)-bound)
@@ -1163,6 +1196,9 @@
 	base := scale(p.work+c.callCost+scale(c.outWork[r]+c.waits(r), 1/c.lanes), c.typical/c.size[r])
 	if c.tells {
 		c.sentTo, c.sentWork = append(c.sentTo, c.cell[r]), c.sentWork+p.work
+		if p.of.sent == 0 && len(c.quota) > 0 {
+			c.sentFor = append(c.sentFor, p.of.tenant)
+		}
 	}
 	l := &leg{of: p, at: r, sentAt: c.now, base: base, work: p.work}
 	p.legs, c.outs[r] = append(p.legs, l), append(c.outs[r], l)
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -47,7 +47,7 @@
 	settings := c.settings
 	c.balancers = max(1, int(c.number("balancers", true)))
 	c.cells, c.reach = int(c.number("familyInfo.cells", true)), int(c.number("familyInfo.span", true))
-	c.held, c.asked, c.blank = make([][]replica, c.cells), make([]float64, c.cells), 1
+	c.held, c.asked, c.served, c.blank = make([][]replica, c.cells), make([]float64, c.cells), make([]float64, c.cells), 1
 	c.quickest, c.self = math.MaxInt64, int(c.number("selfIndex", false))
 	for n := range int(c.number("lanes.count", true)) {
 		path := fmt.Sprintf("lanes.%d.", n)
@@ -83,7 +83,10 @@
 	c.budgetShare = c.number("guarantees.extraRatio", budget)
 	c.budgetFree = c.number("guarantees.minExtra", false)
 	for n := range int(c.number("orgs.count", false)) {
-		q := c.number(fmt.Sprintf("orgs.%d.quotaPerS", n), false) / float64(c.balancers)
+		q := c.number(fmt.Sprintf("orgs.%d.quotaPerS", n), false)
+		if !c.tells {
+			q /= float64(c.balancers) // nobody tells what the others take
+		}
 		c.quota, c.allowance = append(c.quota, q), append(c.allowance, max(leastBurst, q*shareBurst))
 	}
 	if c.asks = settings["discovery"] == "subscribe"; !c.asks && settings["discovery"] != "automatic" {
