--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,9 +18,9 @@
 	rounding   = 0.00005               // weight; half of what sums may fall short by
 
 	startCap     = 8.0                  // parts; the design's starting cap
-	maxCap       = 32.0                 // parts; more would take a climbing latency too many halvings to bring down
+	maxCap       = 32.0                 // parts; more take too many halvings to bring down
 	jitter       = 4 * time.Millisecond // that latency may grow by without a climb: the machines' own
-	ceilingReply = 0.1                  // parts by which a reply raises what the cap may grow to: ten replies to a further try
+	ceilingReply = 0.1                  // parts by which a reply raises what the cap may grow to
 	climbed      = 2.5                  // times the usual latency; above queueing noise, below what stalls cost
 	recentShare  = 0.3                  // weight of a reply in the recent latency: about three replies
 	usualFalls   = 0.1                  // weight of a quicker reply in the usual latency: about ten replies
@@ -32,15 +32,15 @@
 	startUnit   = 0.08             // share of the agreed time that a part is taken to need before any was seen
 	leastWork   = time.Millisecond // least work of a part that latencies can tell from none
 	paceStep    = 0.2              // share of a reply's surprise (in logarithms) that its replica is blamed for
-	unitStep    = 0.02             // share of it that the track's expected work takes up: slower than any replica's
+	unitStep    = 0.02             // share of it that the track's expected work takes up
 	lateShare   = 0.05             // share of retrievals to end after their agreed time before fewer are let in
 	longerStep  = 0.1              // logarithm; least step of the estimate that this moves
 	longerPace  = 0.2              // the same for each second since the track's last retrieval was judged
 	longerMost  = 0.7              // logarithm; its largest step
 	longerFades = 8.0              // seconds in which the rest of that estimate over 1 fades to a third
 	mostLonger  = 6.0              // times the expected time; its upper bound
-	ownShare    = 3                // times what comes may wait unread that a latency may owe to this co-ordinator: out, back and told
-	pacePull    = 0.01             // pull of a replica's pace towards 1 at each reply, so that paces stay comparable
+	ownShare    = 3                // times what comes may wait unread: out, back and told
+	pacePull    = 0.01             // pull of a replica's pace towards 1 at each reply
 	maxSurprise = 2.0              // logarithm; one reply counts for no more than this (7 times)
 	movesPart   = 2                // moves of the greedy for each part of a retrieval (the design's k)
 
@@ -56,10 +56,10 @@
 	copyReply   = 0.3             // second copies of stragglers earned by an answer, wherever it came from
 	lastParts   = 1.5             // parts; the copy of a retrieval's only missing part is always worth it
 	lastTimes   = 1.5             // times the expected time of a sound replica; what these wait
-	lastShare   = 12.0            // so are those of the last twelfth of its parts: each saves eleven that were worked on
+	lastShare   = 12.0            // so are those of its last twelfth: each saves eleven others
 	busyFrom    = 0.4             // share of the replicas' cores in use; up to it copies cost nobody
 	busyMost    = 0.7             // the same; beyond, a queue forms at some and each copy makes it longer
-	busyStep    = 0.05            // weight of a report in what that is taken for: about twenty replies, a large retrieval's
+	busyStep    = 0.05            // weight of a report in what that is taken for
 	toldFresh   = 2 * time.Second // that a replica's own word tells more than what all say: some parts' time
 	maxCopies   = 24.0            // second copies; the most that may be saved up
 	wasteWeighs = 22.0            // times the price of waste, squared and added to 1: what both are divided by
@@ -80,8 +80,8 @@
 
 	scoutsMany   = 12                    // parts; a retrieval of more sends one ahead in any case
 	scoutStep    = 60 * time.Millisecond // to the next parts; what kills mostly does so in one
-	scoutGrow    = 8.0                   // times as many parts are out after each step: the largest are, after two
-	fewOpen      = 64                    // retrievals that cost a turn little; a co-ordinator in its stride has fewer open
+	scoutGrow    = 8.0                   // times as many parts are out after each step
+	fewOpen      = 64                    // retrievals that cost a turn little
 	answersDeath = 2.0                   // answers that a retrieval must have for each death under it
 
 	letFirst  = 500 * time.Millisecond // from turning back to the first that is let in all the same
@@ -90,160 +90,26 @@
 	shedQuiet = 5 * time.Second        // without turning back or load reports, after which that counts as ended
 	staleTook = 6 * time.Millisecond   // a connection that drops within it was of no use from the first
 
-	coldLanes  = 2.0                    // parts side by side that a cold budget counts on: what is learned climbs in a jam
+	coldLanes  = 2.0                    // parts side by side that a cold budget counts on
 	coldSafety = 0.8                    // share of this instance's part of the cold budget that it uses
-	coldMany   = 2.0                    // what its share is divided by where that is less than a part: chance decides what meets
-	coldFlow   = 0.5                    // share of the multiple that topples, times the warmth, of what goes to a warm replica; it holds while the warm ones get twice what they can do
+	coldMany   = 2.0                    // its divisor where it is less than a part
+	coldFlow   = 0.5                    // share of the multiple that topples, of what warm ones get
 	flowFades  = 10.0                   // seconds in which what went to warm ones is forgotten to a third
-	fewAlike   = 8.0                    // co-ordinators; up to so many one sees enough of the work that waits at replicas
-	unseenMore = 0.5                    // times the expected finish, for each e-fold of co-ordinators more, that it may take
-	sameShare  = 0.01                   // share of a cut-off; first tries differ by less, as they differ by their way here alone
+	fewAlike   = 8.0                    // co-ordinators; up to so many one sees enough of the work
+	unseenMore = 0.5                    // times the expected finish, for each e-fold of more
+	sameShare  = 0.01                   // of a cut-off; first tries differ by less on their way
 	sharesKept = 16                     // retrievals; the last ones that tell what first tries come with
-	spreads    = 0.5                    // times the time of one part, for each e-fold of parts, that the slowest of them takes longer
-	fullWait   = 400 * time.Millisecond // from a leg that many co-ordinators' work left no place for to the next there
+	spreads    = 0.5                    // times one part's time, for each e-fold of parts, to the slowest
+	fullWait   = 400 * time.Millisecond // from a leg turned away to the next there
 	peersQuiet = 1 * time.Second        // without a message, after which none is counted on
 	lateSlack  = 0.15                   // share of the agreed time by which an estimate must miss it to count
-	overShare  = 0.3                    // share of the agreed time that traffic past its tenant's share may expect
+	overShare  = 0.3                    // of the agreed time that traffic past its share may expect
 	shareBurst = 2.0                    // seconds of its quota that a tenant may send in one go
-	leastBurst = 2.0                    // retrievals; the least of it: a co-ordinator of many may see one in some seconds
+	leastBurst = 2.0                    // retrievals; the least of it
 )
 
 const replayable, referenced, singleUse = "pure", "token", "side_effect" // as the settings name them
 
-type track struct {
-	index                             int
-	agreed, cutOff, window            time.Duration
-	stretch, late, need, floor, earns float64
-	effect                            string
-	endedAt                           time.Duration // the last retrieval that counted
-	fetch                             int
-	unit                              time.Duration // learned: work of a part
-	hintUnit                          float64       // learned: expected work for each unit of hint
-	longer                            float64       // learned: times the expected that retrievals may take
-	trickle                           float64       // let in at a time against what is learned
-	shedAt                            time.Duration // last turning back
-	letAt, letGap                     time.Duration // when one may be let in against it; from a late one to that
-}
-
-// replica is the dense index under which figures about replicas stand.
-type replica int
-
-type leg struct {
-	of         *part
-	at         replica
-	sentAt     time.Duration
-	base, work time.Duration // expected time at pace 1, and the part's own share of it
-	done, ran  bool          // ran: it may have, as far as its end tells
-	passed     int           // answers from there to later legs
-}
-
-type part struct {
-	id             RequestID
-	of             *retrieval
-	shard          ShardNumber
-	weight         float64
-	work           time.Duration
-	hintUnit       float64 // the track's when the work was told from it
-	at             replica // where it is held, or nowhere
-	held, in, gone bool    // gone: abandoned, it gets no further leg
-	spent          int     // legs of its allowance that other steps have had, or are to have
-	again          bool    // an earlier step had some: its first leg is a further one
-	legs           []*leg
-}
-
-type retrieval struct {
-	id                                             RequestID
-	number                                         RetrievalNumber
-	track                                          *track
-	arrived, agreed, endAt                         time.Duration
-	parts                                          []*part
-	due, step                                      int
-	got                                            float64 // weight of the parts that are in
-	in, ratio, sent                                float64 // parts in, their times over the expected, legs
-	firstWhole, overShare, admitted, ended, judged bool
-	tenant                                         TenantIndex
-	past                                           bool // a later try whose agreed time was over when it came
-	touched                                        bool // something came in for it in this turn
-	let                                            bool // against what is learned of its track
-	goesOn, reserves                               bool // NextStep ends its steps; the first leaves a leg
-	spent                                          map[ShardNumber]int
-	deaths                                         float64       // times that a replica seemed to die under it
-	diedAt                                         time.Duration // the last of them
-	suspect                                        replica       // where
-}
-
-const nowhere replica = -1
-
-// Coordinator makes the decisions of one co-ordinator.
-type Coordinator struct {
-	host        Host
-	settings    map[string]string
-	missing     error
-	seed, draws uint64
-
-	tracks                                           []track
-	self, balancers, cells, reach, maxLegs           int
-	mayCancel, mayCopy                               bool
-	ownZone                                          ZoneIndex
-	quickest, slowest                                time.Duration // shortest agreed time, longest cut-off
-	maxReturn, callCost, zonePenalty                 time.Duration // zonePenalty: what crossing zones costs
-	warmAfter, tipOver, budgetSpan                   time.Duration
-	tipMultiple, startShare, budgetFree, budgetShare float64
-	quota, allowance                                 []float64 // per tenant: per second here, and left
-	asks, subscribed                                 bool
-	askAt, askWait, askEvery                         time.Duration
-	now, refilled, wakeAt, stalled, shedAt           time.Duration // shedAt: the last turning back
-	behind, reportAt                                 time.Duration // own core's lateness, as told; last load report
-	busy                                             float64       // learned from reports: share of the replicas' cores in use
-	tells, sized                                     bool          // messages to the others are allowed; sizes are listed
-	peersAt                                          time.Duration // last message from one
-	sentTo                                           []CellNumber  // where legs went in this turn
-	sentWork                                         time.Duration // of them all
-	sentFor                                          []TenantIndex // of the retrievals that were let in
-	typical                                          float64       // the mean size of those in use
-	shares                                           []float64     // of their cut-offs that retrievals came with of late
-	flow, warm, blank                                float64       // legs of late to warm replicas, how many there are, share of that time before the start
-	asked, served                                    []float64     // by cell: parts of late, holders in use
-
-	open           []*retrieval // in order of arrival
-	byID           map[RequestID]*retrieval
-	byNum          map[RetrievalNumber]*retrieval
-	held           [][]replica         // by cell: the holders of its shards; nil: to be made from the list
-	parts          map[RequestID]*part // those with legs out or of open retrievals
-	copies, thrift float64             // second copies earned, less where waste is dear
-	tempo          float64             // times the times that are meant for long agreed ones
-	unseen         float64             // times the expected finish, for what others have waiting
-	lanes          float64             // learned: parts a replica works on side by side
-	taken, extras  []time.Duration     // within the leg budget's span
-
-	index                   map[ReplicaID]replica
-	id                      []ReplicaID
-	life                    []Life
-	cell                    []CellNumber
-	zone                    []ZoneIndex
-	aside                   [][]bool          // by track: set aside
-	growing                 []bool            // back from there, the cap doubling
-	ceiling                 []float64         // what the cap grows to: less than it was turned away at
-	limit, credit           []float64         // the cap; further legs earned
-	pace                    []float64         // times the expected time that it takes
-	size                    []float64         // as listed, where that tells one replica's size beside another's
-	fullTo                  []time.Duration   // until then it counts as full, as it turned a leg away
-	demand                  []float64         // the shards that it holds, each shared with its other holders in use
-	ahead                   []time.Duration   // work that others had sent there and that was not done, as they told
-	aheadAt                 []time.Duration   // when it was so much
-	told                    []float64         // share of its cores in use, as it last said
-	toldAt                  []time.Duration   // when; 0: never
-	recent, usual           []float64         // latency over work, of late and usually
-	started, replyAt        []time.Duration   // last start and answer
-	answeredAt              [][]time.Duration // last answer, by track
-	halvedAt, errAt, hereAt []time.Duration   // last halving of the cap, last error, last time in the list
-	trialAt, trialGap       []time.Duration   // next trial, and from it to the one after
-	coldAt                  []time.Duration   // until then its cold budget is used up here
-	outWork, heldWork       []time.Duration   // expected work out there and held for it
-	errs                    [][]int           // by track: replies in a row that brought no answer
-	outs                    [][]*leg          // in order of sending
-}
-
 // New starts a co-ordinator. It fails if a setting that it cannot do without is missing or unreadable.
 func New(host Host, seed uint64, settings map[string]string) (*Coordinator, error) {
 	c := &Coordinator{
@@ -279,7 +145,8 @@
 		r = c.room()
 		delete(c.index, c.id[r])
 		c.index[id], c.id[r], c.started[r], c.growing[r] = r, id, LongAgo, false
-		c.pace[r], c.recent[r], c.usual[r], c.limit[r], c.credit[r], c.ceiling[r] = 1, 1, 1, startCap, startCredit, maxCap
+		c.pace[r], c.recent[r], c.usual[r], c.limit[r] = 1, 1, 1, startCap
+		c.credit[r], c.ceiling[r] = startCredit, maxCap
 		c.toldAt[r], c.ahead[r], c.fullTo[r], c.demand[r] = 0, 0, 0, 1
 		c.sound(r)
 	}
@@ -342,14 +209,17 @@
 	c.taken = append(c.taken, now)
 }
 
-// laterTry tells whether a retrieval with this share of its cut-off left must be a client's further try: most of late came
-// with more, it alone with this. What its first tries had is gone then. Guards against: work for agreed times that are over.
-// Could hurt: clients that give up their first tries each after a time of its own are not told from others.
+// laterTry tells whether a retrieval with this share of its cut-off left must be a client's further try: most
+// of late came with more, it alone with this; what is missing has passed. Guards against: work for agreed
+// times that are over. Could hurt: clients whose first tries each have a time of their own are not told from
+// others.
 func (c *Coordinator) laterTry(share float64) bool {
 	usual, more := false, false
 	for n, s := range c.shares {
 		usual = usual || math.Abs(s-share) < sameShare
-		more = more || s > share && slices.ContainsFunc(c.shares[:n], func(o float64) bool { return math.Abs(s-o) < sameShare })
+		more = more || s > share && slices.ContainsFunc(c.shares[:n], func(o float64) bool {
+			return math.Abs(s-o) < sameShare
+		})
 	}
 	if c.shares = append(c.shares, share); len(c.shares) > sharesKept {
 		c.shares = c.shares[1:]
@@ -376,15 +246,15 @@
 	c.asked[int(shard)%c.cells]++
 }
 
-// StepsFollow tells that a retrieval's steps are whole or nothing and end by NextStep alone; if reserves, its parts' first
-// step leaves each a leg for the next.
+// StepsFollow tells that a retrieval's steps are whole or nothing and end by NextStep alone; if reserves, the
+// first leaves each part a leg for the next.
 func (c *Coordinator) StepsFollow(id RequestID, reserves bool) {
 	if q := c.byID[id]; q != nil {
 		q.goesOn, q.reserves = true, reserves
 	}
 }
 
-// NextStep ends a retrieval's present step, whatever is in, and tells how many parts the next has; with none it is fulfilled.
+// NextStep ends a retrieval's present step and tells how many parts the next has; with none it is fulfilled.
 func (c *Coordinator) NextStep(now time.Duration, id RequestID, parts int) {
 	c.clock(now)
 	switch q := c.byID[id]; {
@@ -471,8 +341,8 @@
 	}
 }
 
-// idle is how much room a replica has for second copies, from 0 to 1, as it told of late, else as all did. Guards against:
-// copies that make a jam, of which one of many sees too little. Could hurt: stragglers of a busy fleet wait.
+// idle is how much room a replica has for second copies, from 0 to 1, as it told of late, else as all did.
+// Guards against: copies that make a jam unseen by one of many. Could hurt: stragglers of a busy fleet wait.
 func (c *Coordinator) idle(r replica) float64 {
 	busy := c.busy
 	if c.toldAt[r] > 0 && c.now-c.toldAt[r] < toldFresh {
@@ -490,7 +360,7 @@
 		return math.MaxInt64
 	}
 	pace := c.pace[l.at]
-	if times = max(leastTimes, times/max(1, many)); float64(len(q.parts))-q.in <= float64(len(q.parts))/lastShare {
+	if times = max(leastTimes, times/max(1, many)); q.missing() <= float64(len(q.parts))/lastShare {
 		times, pace = lastTimes, min(1, pace)
 	}
 	return scale(l.base, times*pace*max(1, (1+q.ratio)/(1+q.in)))
@@ -519,15 +389,16 @@
 		c.ahead[r], c.aheadAt[r] = scale(c.waits(r), math.Exp(off)), c.now
 	}
 	if !c.coldFor(r) {
-		queued := 1 - float64(l.work+c.callCost)/float64(l.base)
+		queued := 1 - float64(l.work)/float64(l.base)
 		c.lanes = max(startLanes, min(mostLanes, c.lanes*math.Exp(-lanesStep*queued*off)))
 	}
 	c.pace[r] = math.Pow(c.pace[r], 1-pacePull)
-	if own := math.Log(float64(took+time.Millisecond) / float64(l.work+c.callCost+time.Millisecond)); c.lanes >= 0.5*mostLanes {
-		surprise = max(surprise, min(0, own)) // more side by side than is counted on: the queue was less, not the work
+	if c.lanes >= 0.5*mostLanes { // more side by side than is counted on: the queue was less, not the work
+		alone := math.Log(float64(took+time.Millisecond) / float64(l.work+time.Millisecond))
+		surprise = max(surprise, min(0, alone))
 	}
 	t.learn(surprise + math.Log(l.of.hintUnit/t.hintUnit))
-	ratio := float64(took+jitter) / float64(l.work+c.callCost+jitter)
+	ratio := float64(took+jitter) / float64(l.work+jitter)
 	if own {
 		ratio = min(ratio, c.usual[r])
 	}
@@ -547,9 +418,8 @@
 	}
 }
 
-// learn takes up a part of a reply's surprise, told against what the track's work is taken for now: many legs sent on
-// one belief move it to what they show and no further. Guards against: replies that come in crowds, each of which
-// corrects the same old error again. Should also cover: beliefs beyond all bounds. Could hurt: by learning later.
+// learn takes up a part of a reply's surprise, told against what the track's work is taken for now. Guards
+// against: replies in crowds, each of which corrects the same old error again. Could hurt: by learning later.
 func (t *track) learn(surprise float64) {
 	grow := math.Exp(unitStep * max(-1, min(1, surprise)))
 	grow = max(float64(leastWork), min(float64(t.cutOff), float64(t.unit)*grow)) / float64(t.unit)
@@ -601,8 +471,8 @@
 	}
 }
 
-// Behind tells for how long what comes for this co-ordinator may wait unread, as its own core is busy. Guards against:
-// taking that for slow replicas. Could hurt: by learning less of them while its core is short.
+// Behind tells for how long what comes for this co-ordinator may wait unread, as its own core is busy. Guards
+// against: taking that for slow replicas. Could hurt: by learning less of them while its core is short.
 func (c *Coordinator) Behind(now, unread time.Duration) {
 	c.clock(now)
 	c.behind = unread
@@ -623,9 +493,8 @@
 	}
 }
 
-// TurnEnds decides, once all that has come in at this time is told. All is looked at in each turn while little is open,
-// else once in a sweep, and in between what something came in for. Guards against: turns that grow with what is open, a
-// jam of this co-ordinator's own making. Could hurt: by a sweep.
+// TurnEnds decides, once all that has come in at this time is told. All is looked at in each turn while
+// little is open, else once in a sweep, and in between what something came in for. Could hurt: by a sweep.
 func (c *Coordinator) TurnEnds(now time.Duration) {
 	c.clock(now)
 	c.follow()
@@ -746,26 +615,6 @@
 // also cover: single parts of that kind, connections that drop. Could hurt: those caught early in a crash.
 func (q *retrieval) doubtful() bool { return q.deaths > 0 && q.in < answersDeath*q.deaths }
 
-// waiting tells whether parts are still to come. A second step's come in one turn, as many as its sender counts.
-func (q *retrieval) waiting() bool {
-	return q.ended || q.due > len(q.parts) && (q.step == 0 || q.goesOn || len(q.parts) == 0)
-}
-
-// bounds are the weights that a whole answer and any answer need at the present step.
-func (q *retrieval) bounds() (need, floor float64) {
-	need, floor = q.track.need, q.track.floor
-	if q.goesOn {
-		need, floor = 1, 1
-	}
-	if q.step > 0 {
-		if floor >= need {
-			floor = 1
-		}
-		need = 1
-	}
-	return need - rounding, floor - rounding
-}
-
 func (c *Coordinator) settle(q *retrieval) {
 	if q.waiting() {
 		if !q.ended && c.now >= q.endAt-endMargin { // what it waits for never came
@@ -776,15 +625,12 @@
 	if c.now > q.agreed {
 		c.judge(q, false)
 	}
-	need, floor := q.bounds()
+	need, _ := q.bounds()
 	switch {
 	case q.got >= need:
 		c.answer(q, q.step == 0 || q.firstWhole)
 	case c.now >= q.endAt-endMargin || q.doubtful() && (q.deaths > 1 || !c.sendable(q.suspect, q.track, nil)):
 		c.giveUp(q)
-	case c.now >= q.agreed-endMargin && c.now < q.agreed && q.got >= floor &&
-		q.track.earns*q.got/need > q.track.late:
-		c.answer(q, false)
 	}
 }
 
@@ -837,7 +683,7 @@
 	default:
 		t.trickle, t.letAt, t.letGap = 1, c.now+t.letGap, min(scale(letMost, c.letTimes(q)), 2*t.letGap)
 	}
-	if q.judged = true; c.now > q.arrived && (kept || !q.let) { // not turned back on arrival, nor let in against what is expected
+	if q.judged = true; c.now > q.arrived && (kept || !q.let) { // turned back on arrival, or let in in doubt
 		step := max(longerStep, min(longerMost, longerPace*(c.now-t.endedAt).Seconds()))
 		t.longer, t.endedAt = max(1, min(mostLonger, t.longer*math.Exp(step*late))), c.now
 	}
@@ -862,7 +708,7 @@
 }
 
 func (c *Coordinator) finish(r replica, more time.Duration) time.Duration {
-	d := scale(c.callCost+scale(c.outWork[r]+c.heldWork[r]+c.waits(r)+more, 1/c.lanes), c.takes(r))
+	d := scale(scale(c.outWork[r]+c.heldWork[r]+c.waits(r)+more, 1/c.lanes), c.takes(r))
 	if c.now < c.fullTo[r] {
 		d += c.slowest
 	}
@@ -878,13 +724,13 @@
 // takes is how many times a part's work its replica takes for it.
 func (c *Coordinator) takes(r replica) float64 { return c.pace[r] * c.typical / c.size[r] }
 
-// waits is the work that other co-ordinators have out at a replica, by what they told and the time since. It stands in for
-// the controller, which knows all work ahead.
+// waits is the work that other co-ordinators have out at a replica, by what they told and the time since. It
+// stands in for the controller, which knows all work ahead.
 func (c *Coordinator) waits(r replica) time.Duration {
 	return max(0, c.ahead[r]-scale(c.now-c.aheadAt[r], c.lanes/c.takes(r)))
 }
 
-// mostAhead is the work beyond which nothing sent there is in time: what is late anyway is mostly never begun.
+// mostAhead is the work beyond which nothing sent there is in time: what is late is mostly never begun.
 func (c *Coordinator) mostAhead() time.Duration { return scale(c.quickest, c.lanes) }
 
 // PeerTells takes what another co-ordinator says of the legs that it has just sent.
@@ -908,7 +754,7 @@
 	return nil
 }
 
-// others is how many times the expected finish what others have waiting may make of it, while they do not tell.
+// others is how many times the expected finish what others have waiting may make of it, unless they tell.
 func (c *Coordinator) others() float64 {
 	if c.heard() {
 		return 1
@@ -963,27 +809,8 @@
 // slowest is how many times the time of one part the slowest of so many is expected to take.
 func slowest(parts int) float64 { return 1 + spreads*math.Log(float64(max(1, parts))) }
 
-// stepBy is when a retrieval's present step is to end, if what follows is to be in by the agreed time.
-func (c *Coordinator) stepBy(q *retrieval) time.Duration {
-	if q.track.fetch == 0 || q.step > 0 {
-		return q.agreed
-	}
-	return q.agreed - scale(q.track.unit, c.others()*slowest(q.track.fetch))
-}
-
-func (q *retrieval) reaches(pass func(*part) bool) bool {
-	within := 0.0
-	for _, p := range q.parts {
-		if pass(p) {
-			within += p.weight
-		}
-	}
-	_, floor := q.bounds()
-	return within >= floor
-}
-
-// spread moves parts off the replica with the largest expected finish, each to where it is done first, while that
-// lowers it, then the next.
+// spread moves parts off the replica with the largest expected finish, each to where it is done first, while
+// that lowers it, then the next.
 func (c *Coordinator) spread(mine []*part) {
 	settled := map[replica]bool{nowhere: true}
 	for moves := movesPart * len(mine); moves > 0; moves-- {
@@ -1019,16 +846,11 @@
 	}
 }
 
-// alike tells whether two parts not sent yet can go to the same replicas at the same cost.
-func (p *part) alike(o *part, cells int) bool {
-	return p.work == o.work && int(p.shard)%cells == int(o.shard)%cells && len(p.legs)+len(o.legs) == 0
-}
-
 // admit turns a new retrieval back that cannot be expected to make its agreed time. Guards against:
 // overload, of all or of the holders of one shard. Should also cover: shards whose holders are all gone.
 // Could hurt: if the expected times are far too long.
 func (c *Coordinator) admit(q *retrieval, mine []*part) {
-	bound, over := scale(c.stepBy(q)-q.arrived, (1+lateSlack)/(q.track.longer*c.others())), time.Duration(0)
+	bound, over := scale(q.agreed-q.arrived, (1+lateSlack)/(q.track.longer*c.others())), time.Duration(0)
 	if q.overShare {
 		bound = scale(bound, overShare)
 	}
@@ -1062,25 +884,28 @@
 	c.end(q, false)
 }
 
-// letTimes is how many times the times between those that are let in so: others let some in as well, and large ones cost more.
+// letTimes is how many times the times between those that are let in so: others let some in as well, and what
+// each lets in weighs on all; large ones cost more.
 func (c *Coordinator) letTimes(q *retrieval) float64 {
-	return c.tempo * max(1, float64(c.balancers)/fewAlike) * max(1, float64(len(q.parts))/scoutsMany)
+	crowd := max(1, float64(c.balancers)/fewAlike)
+	return c.tempo * min(60, crowd*crowd*max(1, float64(len(q.parts))/scoutsMany))
 }
 
-// letIn lets a retrieval in that would be turned back, if nothing is out that could show whether the replicas that speak
-// against it are as slow as they are taken to be; twice as much may be out there after each in time; a late one begins
-// anew after a wait. Guards against: beliefs that nothing can correct as they keep all work away. Should also cover: any
-// belief that turns back. Could hurt: by one in that wait, while a jam that others fill is real.
+// letIn lets a retrieval in that would be turned back, if nothing is out that could show whether the replicas
+// against it are so slow; twice as much may be out there after each in time; a late one begins anew after a
+// wait. Guards against: beliefs that keep all work away for good. Could hurt: by one in that wait.
 func (c *Coordinator) letIn(q *retrieval, mine []*part, bound time.Duration) bool {
 	t := q.track
 	if t.shedAt == 0 || c.now > t.shedAt+shedQuiet {
 		t.trickle, t.letGap, t.letAt = 1, scale(letFirst, c.letTimes(q)), c.now+scale(letFirst, c.letTimes(q))
 	}
 	t.shedAt = c.now
-	bound = scale(bound, t.longer) // tightening fades by itself
-	waits := func(r replica) bool { return c.aside[r][t.index] && c.now >= c.trialAt[r]+scale(trialMost, c.tempo) }
+	bound = scale(bound, t.longer)  // tightening fades by itself
+	waits := func(r replica) bool { // no trial otherwise
+		return c.aside[r][t.index] && c.now >= c.trialAt[r]+scale(trialMost, c.tempo)
+	}
 	over := slices.ContainsFunc(mine, func(p *part) bool {
-		return p.at != nowhere && c.finish(p.at, 0) > bound || slices.ContainsFunc(c.holders(p.shard), waits) // no trial otherwise
+		return p.at != nowhere && c.finish(p.at, 0) > bound || slices.ContainsFunc(c.holders(p.shard), waits)
 	})
 	q.let = over && c.now >= t.letAt && !slices.ContainsFunc(mine, func(p *part) bool {
 		return p.at != nowhere && float64(len(c.outs[p.at])) >= t.trickle && c.finish(p.at, 0) > bound
@@ -1102,8 +927,8 @@
 	}
 }
 
-// release sends held parts in order of their retrievals' arrival, as caps allow, and drops what is too late; unless all
-// is looked at, only where there is room.
+// release sends held parts in order of their retrievals' arrival, as caps allow, and drops what is too late;
+// unless all is looked at, only where there is room.
 func (c *Coordinator) release(all bool) {
 	blocked, ahead := make([]bool, len(c.id)), make([]time.Duration, len(c.id))
 	free := 0
@@ -1133,7 +958,8 @@
 				c.short(q)
 			case (first || r == nowhere) && c.trial(p) || r == nowhere:
 			case blocked[r] || c.full(r) || !c.coldRoom(r, p) ||
-				p.again && !c.mayGoOn() || !first && (c.credit[r] < 1 && len(c.outs[r]) > 0 || !c.mayGoOn() || c.erring(r, q.track, c.lastLeg(p))):
+				(p.again || !first) && !c.mayGoOn() ||
+				!first && (c.credit[r] < 1 && len(c.outs[r]) > 0 || c.erring(r, q.track, c.lastLeg(p))):
 				if first && !blocked[r] {
 					blocked[r] = true
 					free--
@@ -1147,16 +973,18 @@
 	}
 }
 
-// full tells whether the cap lets nothing go to a replica; in each silence one leg goes all the same. Guards against:
-// lost legs that hold all places until their cut-offs. Could hurt: by one in that time, while a jam is real.
+// full tells whether a replica turned a leg away just now or the cap lets nothing go; in each silence one leg
+// goes all the same. Guards against: lost legs that hold all places. Could hurt: by one in that time, in a
+// jam.
 func (c *Coordinator) full(r replica) bool {
 	n := len(c.outs[r])
-	return c.now < c.fullTo[r] || float64(n+1) > c.limit[r] && c.now-max(c.replyAt[r], c.outs[r][n-1].sentAt) < scale(hungAfter, c.tempo)
+	return c.now < c.fullTo[r] || float64(n+1) > c.limit[r] &&
+		c.now-max(c.replyAt[r], c.outs[r][n-1].sentAt) < scale(hungAfter, c.tempo)
 }
 
 // scouting tells whether a large retrieval's next part waits: until an answer is in one goes, then eight
-// times as many in each step. Guards against: retrievals that kill what takes a part, where one of many co-ordinators
-// sees too few deaths to be warned. Could hurt: by some steps while replicas are busy.
+// times as many in each step. Guards against: deadly retrievals, where one of many co-ordinators sees too few
+// deaths to be warned. Could hurt: by some steps while replicas are busy.
 func (c *Coordinator) scouting(q *retrieval) bool {
 	return q.in < 1+2*q.deaths && len(q.parts) > scoutsMany && c.unseen > 1 && q.sent > 0 &&
 		q.sent >= math.Pow(scoutGrow, math.Floor(float64(c.now-q.arrived)/float64(scoutStep)))
@@ -1193,7 +1021,7 @@
 func (c *Coordinator) send(p *part, r replica) {
 	c.hold(p, nowhere)
 	p.held = false
-	base := scale(p.work+c.callCost+scale(c.outWork[r]+c.waits(r), 1/c.lanes), c.typical/c.size[r])
+	base := scale(p.work+scale(c.outWork[r]+c.waits(r), 1/c.lanes), c.typical/c.size[r])
 	if c.tells {
 		c.sentTo, c.sentWork = append(c.sentTo, c.cell[r]), c.sentWork+p.work
 		if p.of.sent == 0 && len(c.quota) > 0 {
@@ -1217,7 +1045,7 @@
 	}
 	limit := time.Duration(0)
 	if !c.mayCopy && !c.lastLeg(p) && p.of.track.effect != singleUse {
-		limit = scale(max(l.work, scale(l.base, c.pace[r])), patience) // no copy can go beside it: it must end first
+		limit = scale(max(l.work, scale(l.base, c.pace[r])), patience) // no copy goes beside it
 	}
 	c.host.Send(p.id, c.id[r], limit)
 }
@@ -1227,7 +1055,7 @@
 func (c *Coordinator) trial(p *part) bool {
 	copied := len(p.legs) > 0
 	mayCopy := p.of.track.effect == replayable && c.mayCopy && !c.lastLeg(p)
-	tooOld := c.now-p.of.arrived > (p.of.endAt-p.of.arrived)/2 // it would end before its answer can tell anything
+	tooOld := c.now-p.of.arrived > (p.of.endAt-p.of.arrived)/2 // its answer would tell too late
 	if (copied || p.again) && !c.mayGoOn() || p.running() && !mayCopy || p.of.doubtful() || tooOld {
 		return false
 	}
@@ -1274,23 +1102,14 @@
 			}
 			return d
 		})
-		if best != nowhere && (c.copies*c.idle(best) >= 1 || float64(len(q.parts))-q.in <= max(lastParts, float64(len(q.parts))/lastShare)) {
+		last := q.missing() <= max(lastParts, float64(len(q.parts))/lastShare)
+		if best != nowhere && (last || c.copies*c.idle(best) >= 1) {
 			c.copies = max(0, c.copies-1)
 			c.send(p, best)
 		}
 	}
 }
 
-// lastOut is the last leg of a part that is out; a copy that came back with nothing must not hide the one that goes on.
-func (p *part) lastOut() (last *leg) {
-	for _, l := range p.legs {
-		if !l.done {
-			last = l
-		}
-	}
-	return last
-}
-
 func (c *Coordinator) coldFor(r replica) bool {
 	return c.tipMultiple > 0 && c.started[r] != LongAgo && c.now-c.started[r] < c.warmAfter+c.tipOver
 }
@@ -1300,8 +1119,8 @@
 	return min(1, c.startShare+(1-c.startShare)*age)
 }
 
-// coldRoom keeps to this instance's share of a cold replica's budget: where that is less than a part, chance lets each go
-// or not, as many as it and what warm ones get (which shows what all send) allow. Guards against: pushing over a fresh
+// coldRoom keeps to this instance's share of a cold replica's budget: where that is less than a part, chance
+// lets each go or not, as many as it and what warm ones get allow. Guards against: pushing over a fresh
 // replica, and leaving it idle. Could hurt: where the warm ones are sent far more than they can do.
 func (c *Coordinator) coldRoom(r replica, p *part) bool {
 	if !c.coldFor(r) || p == nil {
@@ -1311,14 +1130,16 @@
 	if burst := scale(c.tipOver, 1/coldSafety-1); takes <= burst {
 		return c.now >= c.coldAt[r]+takes-burst
 	}
-	allowed, asked := (1-c.blank)*flowFades/takes.Seconds()/coldMany+coldFlow*c.tipMultiple*c.warmth(r)*c.flow/max(1, c.warm), 0.0
+	allowed, asked := coldFlow*c.tipMultiple*c.warmth(r)*c.flow/max(1, c.warm), 0.0
+	allowed += (1 - c.blank) * flowFades / takes.Seconds() / coldMany
 	for back := range c.reach {
 		asked += c.asked[(int(c.cell[r])-back+c.cells)%c.cells]
 	}
 	return c.draw(uint64(p.id), uint64(c.id[r]))*asked < allowed
 }
 
-// coldTakes is the time in which the share allows for so much work; warm, a replica does what others do side by side.
+// coldTakes is the time in which the share allows for so much work; warm, a replica does what others do.
 func (c *Coordinator) coldTakes(r replica, work time.Duration) time.Duration {
-	return scale(work+c.callCost, float64(c.balancers)/(coldSafety*c.tipMultiple*c.warmth(r)*min(c.lanes, coldLanes)))
+	share := coldSafety * c.tipMultiple * c.warmth(r) * min(c.lanes, coldLanes) / float64(c.balancers)
+	return scale(work, 1/share)
 }
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -53,8 +53,7 @@
 		path := fmt.Sprintf("lanes.%d.", n)
 		t := track{index: n, agreed: c.span(path+"aim", true), cutOff: c.span(path+"deadline", true),
 			window: c.span(path+"window", false), stretch: c.number(path+"aimStretch", false),
-			late: c.number(path+"lateWorth", false), need: c.nth("familyInfo.classNeed", n, 1),
-			earns: c.nth("familyInfo.partialEarns", n, 0), fetch: int(c.nth("familyInfo.classFetch", n, 0)),
+			need: c.nth("familyInfo.classNeed", n, 1), fetch: int(c.nth("familyInfo.classFetch", n, 0)),
 			effect: settings[path+"effect"], hintUnit: 1, longer: 1}
 		t.floor = min(t.need, c.nth("familyInfo.leastShare", n, t.need))
 		if !slices.Contains([]string{replayable, referenced, singleUse}, t.effect) {
@@ -75,7 +74,7 @@
 	if settings["bounds.retryAfter"] == "true" {
 		c.maxReturn = c.span("bounds.maxRetryAfter", false)
 	}
-	c.callCost, c.ownZone = c.span("familyInfo.callCost", false), ZoneIndex(c.number("zone", false))
+	c.ownZone = ZoneIndex(c.number("zone", false))
 	c.tipMultiple = c.number("guarantees.tipMultiple", false)
 	cold, budget := c.tipMultiple > 0, settings["guarantees.ratioSpan"]+settings["guarantees.extraRatio"] != ""
 	c.startShare, c.warmAfter = c.number("guarantees.startCapacity", cold), c.span("guarantees.warmAfter", cold)
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,188 @@
+package decide
+
+import "time"
+
+// What a co-ordinator keeps. Nothing here chooses anything.
+
+type track struct {
+	index                  int
+	agreed, cutOff, window time.Duration
+	stretch, need, floor   float64
+	effect                 string
+	endedAt                time.Duration // the last retrieval that counted
+	fetch                  int
+	unit                   time.Duration // learned: work of a part
+	hintUnit               float64       // learned: expected work for each unit of hint
+	longer                 float64       // learned: times the expected that retrievals may take
+	trickle                float64       // let in at a time against what is learned
+	shedAt                 time.Duration // last turning back
+	letAt, letGap          time.Duration // when one may be let in against it; from a late one to that
+}
+
+// replica is the dense index under which figures about replicas stand.
+type replica int
+
+type leg struct {
+	of         *part
+	at         replica
+	sentAt     time.Duration
+	base, work time.Duration // expected time at pace 1, and the part's own share of it
+	done, ran  bool          // ran: it may have, as far as its end tells
+	passed     int           // answers from there to later legs
+}
+
+type part struct {
+	id             RequestID
+	of             *retrieval
+	shard          ShardNumber
+	weight         float64
+	work           time.Duration
+	hintUnit       float64 // the track's when the work was told from it
+	at             replica // where it is held, or nowhere
+	held, in, gone bool    // gone: abandoned, it gets no further leg
+	spent          int     // legs of its allowance that other steps have had, or are to have
+	again          bool    // an earlier step had some: its first leg is a further one
+	legs           []*leg
+}
+
+type retrieval struct {
+	id                                             RequestID
+	number                                         RetrievalNumber
+	track                                          *track
+	arrived, agreed, endAt                         time.Duration
+	parts                                          []*part
+	due, step                                      int
+	got                                            float64 // weight of the parts that are in
+	in, ratio, sent                                float64 // parts in, their times over the expected, legs
+	firstWhole, overShare, admitted, ended, judged bool
+	tenant                                         TenantIndex
+	past                                           bool // a later try whose agreed time was over when it came
+	touched                                        bool // something came in for it in this turn
+	let                                            bool // against what is learned of its track
+	goesOn, reserves                               bool // NextStep ends its steps; the first leaves a leg
+	spent                                          map[ShardNumber]int
+	deaths                                         float64       // times that a replica seemed to die under it
+	diedAt                                         time.Duration // the last of them
+	suspect                                        replica       // where
+}
+
+const nowhere replica = -1
+
+// Coordinator makes the decisions of one co-ordinator.
+type Coordinator struct {
+	host        Host
+	settings    map[string]string
+	missing     error
+	seed, draws uint64
+
+	tracks                                           []track
+	self, balancers, cells, reach, maxLegs           int
+	mayCancel, mayCopy                               bool
+	ownZone                                          ZoneIndex
+	quickest, slowest                                time.Duration // shortest agreed time, longest cut-off
+	maxReturn, zonePenalty                           time.Duration // zonePenalty: what crossing zones costs
+	warmAfter, tipOver, budgetSpan                   time.Duration
+	tipMultiple, startShare, budgetFree, budgetShare float64
+	quota, allowance                                 []float64 // per tenant: per second here, and left
+	asks, subscribed                                 bool
+	askAt, askWait, askEvery                         time.Duration
+	now, refilled, wakeAt, stalled, shedAt           time.Duration // shedAt: the last turning back
+	behind, reportAt                                 time.Duration // own core's lateness, as told; last load report
+	busy                                             float64       // learned from reports: share of the replicas' cores in use
+	tells, sized                                     bool          // messages to the others are allowed; sizes are listed
+	peersAt                                          time.Duration // last message from one
+	sentTo                                           []CellNumber  // where legs went in this turn
+	sentWork                                         time.Duration // of them all
+	sentFor                                          []TenantIndex // of the retrievals that were let in
+	typical                                          float64       // the mean size of those in use
+	shares                                           []float64     // of their cut-offs that retrievals came with of late
+	flow, warm, blank                                float64       // legs of late to warm replicas, how many there are, share of that time before the start
+	asked, served                                    []float64     // by cell: parts of late, holders in use
+
+	open           []*retrieval // in order of arrival
+	byID           map[RequestID]*retrieval
+	byNum          map[RetrievalNumber]*retrieval
+	held           [][]replica         // by cell: the holders of its shards; nil: to be made from the list
+	parts          map[RequestID]*part // those with legs out or of open retrievals
+	copies, thrift float64             // second copies earned, less where waste is dear
+	tempo          float64             // times the times that are meant for long agreed ones
+	unseen         float64             // times the expected finish, for what others have waiting
+	lanes          float64             // learned: parts a replica works on side by side
+	taken, extras  []time.Duration     // within the leg budget's span
+
+	index                   map[ReplicaID]replica
+	id                      []ReplicaID
+	life                    []Life
+	cell                    []CellNumber
+	zone                    []ZoneIndex
+	aside                   [][]bool          // by track: set aside
+	growing                 []bool            // back from there, the cap doubling
+	ceiling                 []float64         // what the cap grows to: less than it was turned away at
+	limit, credit           []float64         // the cap; further legs earned
+	pace                    []float64         // times the expected time that it takes
+	size                    []float64         // as listed, where that tells one replica's size beside another's
+	fullTo                  []time.Duration   // until then it counts as full, as it turned a leg away
+	demand                  []float64         // the shards that it holds, each shared with its other holders in use
+	ahead                   []time.Duration   // work that others had sent there and that was not done, as they told
+	aheadAt                 []time.Duration   // when it was so much
+	told                    []float64         // share of its cores in use, as it last said
+	toldAt                  []time.Duration   // when; 0: never
+	recent, usual           []float64         // latency over work, of late and usually
+	started, replyAt        []time.Duration   // last start and answer
+	answeredAt              [][]time.Duration // last answer, by track
+	halvedAt, errAt, hereAt []time.Duration   // last halving of the cap, last error, last time in the list
+	trialAt, trialGap       []time.Duration   // next trial, and from it to the one after
+	coldAt                  []time.Duration   // until then its cold budget is used up here
+	outWork, heldWork       []time.Duration   // expected work out there and held for it
+	errs                    [][]int           // by track: replies in a row that brought no answer
+	outs                    [][]*leg          // in order of sending
+}
+
+// lastOut is the last leg of a part that is out; a copy that came back with nothing must not hide the one that
+// goes on.
+func (p *part) lastOut() (last *leg) {
+	for _, l := range p.legs {
+		if !l.done {
+			last = l
+		}
+	}
+	return last
+}
+
+// alike tells whether two parts not sent yet can go to the same replicas at the same cost.
+func (p *part) alike(o *part, cells int) bool {
+	return p.work == o.work && int(p.shard)%cells == int(o.shard)%cells && len(p.legs)+len(o.legs) == 0
+}
+
+func (q *retrieval) reaches(pass func(*part) bool) bool {
+	within := 0.0
+	for _, p := range q.parts {
+		if pass(p) {
+			within += p.weight
+		}
+	}
+	_, floor := q.bounds()
+	return within >= floor
+}
+
+func (q *retrieval) missing() float64 { return float64(len(q.parts)) - q.in }
+
+// waiting tells whether parts are still to come. A second step's come in one turn, as many as were counted.
+func (q *retrieval) waiting() bool {
+	return q.ended || q.due > len(q.parts) && (q.step == 0 || q.goesOn || len(q.parts) == 0)
+}
+
+// bounds are the weights that a whole answer and any answer need at the present step.
+func (q *retrieval) bounds() (need, floor float64) {
+	need, floor = q.track.need, q.track.floor
+	if q.goesOn {
+		need, floor = 1, 1
+	}
+	if q.step > 0 {
+		if floor >= need {
+			floor = 1
+		}
+		need = 1
+	}
+	return need - rounding, floor - rounding
+}
--- a/decide/waysback_test.go
+++ b/decide/waysback_test.go
@@ -182,8 +182,8 @@
 	}
 	serve(30)
 	before := m.c.limit[r]
-	for range 4 {
-		m.ask(0, 4, 3*time.Second)
+	for range 16 {
+		m.ask(0, 1, 3*time.Second)
 	}
 	m.turn()
 	for n, o := range m.outs() {
