--- a/decide/decide.go
+++ b/decide/decide.go
@@ -102,7 +102,7 @@
 	spreads    = 0.5                    // times one part's time, for each e-fold of parts, to the slowest
 	fullWait   = 400 * time.Millisecond // from a leg turned away to the next there
 	peersQuiet = 1 * time.Second        // without a message, after which none is counted on
-	lateSlack  = 0.15                   // share of the agreed time by which an estimate must miss it to count
+	lateSlack  = 0.0                   // share of the agreed time by which an estimate must miss it to count
 	overShare  = 0.3                    // of the agreed time that traffic past its share may expect
 	shareBurst = 2.0                    // seconds of its quota that a tenant may send in one go
 	leastBurst = 2.0                    // retrievals; the least of it
@@ -850,7 +850,11 @@
 // overload, of all or of the holders of one shard. Should also cover: shards whose holders are all gone.
 // Could hurt: if the expected times are far too long.
 func (c *Coordinator) admit(q *retrieval, mine []*part) {
-	bound, over := scale(q.agreed-q.arrived, (1+lateSlack)/(q.track.longer*c.others())), time.Duration(0)
+	left, steps := q.agreed-q.arrived, slowest(len(q.parts))
+	if q.track.fetch > 0 && q.step == 0 { // what follows takes as long as these do
+		left, steps = left-scale(q.track.unit, c.others()*slowest(q.track.fetch)), steps+slowest(q.track.fetch)
+	}
+	bound, over := scale(left, (1+lateSlack)/(q.track.longer*c.others())), time.Duration(0)
 	if q.overShare {
 		bound = scale(bound, overShare)
 	}
@@ -860,10 +864,6 @@
 			mean, placed = mean+c.finish(p.at, 0), placed+1
 		}
 	}
-	steps := slowest(len(q.parts))
-	if q.track.fetch > 0 && q.step == 0 {
-		steps += slowest(q.track.fetch)
-	}
 	over = max(over, scale(mean, steps/(c.others()*max(1, placed)))-bound)
 	if over <= 0 && q.reaches(func(p *part) bool {
 		if p.at != nowhere {
