--- a/decide/decide.go
+++ b/decide/decide.go
@@ -102,7 +102,6 @@
 	spreads    = 0.5                    // times one part's time, for each e-fold of parts, to the slowest
 	fullWait   = 400 * time.Millisecond // from a leg turned away to the next there
 	peersQuiet = 1 * time.Second        // without a message, after which none is counted on
-	lateSlack  = 0.0                   // share of the agreed time by which an estimate must miss it to count
 	overShare  = 0.3                    // of the agreed time that traffic past its share may expect
 	shareBurst = 2.0                    // seconds of its quota that a tenant may send in one go
 	leastBurst = 2.0                    // retrievals; the least of it
@@ -150,10 +149,7 @@
 		c.toldAt[r], c.ahead[r], c.fullTo[r], c.demand[r] = 0, 0, 0, 1
 		c.sound(r)
 	}
-	c.life[r], c.cell[r], c.zone[r], c.size[r] = life, cell, zone, 1
-	if c.sized && size > 0 {
-		c.size[r] = size
-	}
+	c.life[r], c.cell[r], c.zone[r], c.size[r] = life, cell, zone, cmp.Or(max(0, size), 1)
 	if started > c.started[r] {
 		c.started[r], c.limit[r] = started, startCap
 		c.sound(r)
@@ -188,23 +184,20 @@
 	tenant TenantIndex, left, hint time.Duration, parts int) {
 	c.clock(now)
 	t := &c.tracks[n]
-	q := &retrieval{id: id, number: number, track: t, arrived: now, endAt: now + left, due: parts}
+	q := &retrieval{id: id, number: number, track: t, tenant: tenant, arrived: now, due: parts}
+	q.endAt = now + left
 	q.agreed = now + min(t.agreed+scale(hint, t.stretch), t.cutOff, left)
 	if gone := t.cutOff - left; c.laterTry(float64(left) / float64(t.cutOff)) {
 		if q.agreed = min(q.agreed, now+t.agreed+scale(hint, t.stretch)-gone); q.agreed <= now {
 			q.agreed, q.judged, q.past = q.endAt, true, true
 		}
 	}
-	q.touched = true
-	c.open = append(c.open, q)
+	q.touched, c.open = true, append(c.open, q)
 	c.byID[id], c.byNum[number] = q, q
 	known := int(tenant) < len(c.quota)
 	if q.overShare = known && c.allowance[tenant] < 1 && (c.unseen <= 1 || c.heard()); known && !q.overShare {
 		c.allowance[tenant]--
 	}
-	if known {
-		q.tenant = tenant
-	}
 	q.overShare = q.overShare || q.past
 	c.taken = append(c.taken, now)
 }
@@ -433,8 +426,7 @@
 }
 
 // setAside takes a replica out of the ordinary path, or one track there; what is held for it is placed anew.
-// Guards against: replicas that hang, have died or cannot be reached, and bring errors only. Should also
-// cover: cut links, full connection tables. Could hurt: when all holders of a shard seem dead; trials go on.
+// Guards against: replicas that hang, are gone or err. Could hurt: when all holders seem dead; trials go on.
 func (c *Coordinator) setAside(r replica, only *track, why string) {
 	if !slices.Contains(c.aside[r], true) {
 		c.trialAt[r] = c.now + c.trialGap[r]
@@ -578,8 +570,7 @@
 }
 
 // watch sets a replica aside that has legs out and has long been silent, or a track that alone gets no
-// answers there, if it can be spared: the last holder may be silent under the load of others. Guards against:
-// replicas that hang, on all or one sort of work. Could hurt: heavy parts of a rare track, until an answer.
+// answers there, if it can be spared. Could hurt: heavy parts of a rare track, until an answer.
 func (c *Coordinator) watch(r replica) {
 	for n, l := range c.outs[r] {
 		t, silent := l.of.of.track, c.now-max(l.sentAt, c.replyAt[r])
@@ -611,8 +602,7 @@
 }
 
 // doubtful tells whether a retrieval may kill what works on it: at a second death it ends; after one it goes
-// on only where it has been, which cannot be reached if it died. Guards against: deadly retrievals. Should
-// also cover: single parts of that kind, connections that drop. Could hurt: those caught early in a crash.
+// on only where it has been. Guards against: deadly retrievals. Could hurt: those caught early in a crash.
 func (q *retrieval) doubtful() bool { return q.deaths > 0 && q.in < answersDeath*q.deaths }
 
 func (c *Coordinator) settle(q *retrieval) {
@@ -712,9 +702,7 @@
 	if c.now < c.fullTo[r] {
 		d += c.slowest
 	}
-	if c.unseen > 1 && !c.heard() {
-		d = scale(d, c.demand[r])
-	}
+	d = scale(d, c.wanted(r))
 	if c.zone[r] != c.ownZone {
 		d += c.zonePenalty
 	}
@@ -722,7 +710,12 @@
 }
 
 // takes is how many times a part's work its replica takes for it.
-func (c *Coordinator) takes(r replica) float64 { return c.pace[r] * c.typical / c.size[r] }
+func (c *Coordinator) takes(r replica) float64 {
+	if !c.sized {
+		return c.pace[r]
+	}
+	return c.pace[r] * c.typical / c.size[r]
+}
 
 // waits is the work that other co-ordinators have out at a replica, by what they told and the time since. It
 // stands in for the controller, which knows all work ahead.
@@ -765,6 +758,14 @@
 // heard tells whether the others tell what they send.
 func (c *Coordinator) heard() bool { return c.peersAt > 0 && c.now < c.peersAt+peersQuiet }
 
+// wanted is how many times its usual share a replica is asked for as others are out, while nobody tells.
+func (c *Coordinator) wanted(r replica) float64 {
+	if c.unseen <= 1 || c.heard() {
+		return 1
+	}
+	return c.demand[r]
+}
+
 // choose picks the holder of a part's shard with the least cost, in time; below 0 it is out of the question.
 func (c *Coordinator) choose(p *part, cost func(replica) time.Duration) replica {
 	best, least := nowhere, time.Duration(math.MaxInt64)
@@ -776,6 +777,15 @@
 	return best
 }
 
+func (c *Coordinator) fastest(p *part) replica {
+	return c.choose(p, func(r replica) time.Duration {
+		if p.tried(r, false) != p.of.doubtful() {
+			return p.of.track.cutOff // only where no other holder is left
+		}
+		return scale(p.work, c.takes(r)*c.wanted(r))
+	})
+}
+
 // place gives each part that has none a holder: the fastest, then what spread finds, or nobody.
 func (c *Coordinator) place(q *retrieval) {
 	if q.waiting() {
@@ -787,21 +797,16 @@
 		if p.in || p.gone || stays || !p.held && len(p.legs) > 0 {
 			continue
 		}
-		c.hold(p, c.choose(p, func(r replica) time.Duration {
-			if p.tried(r, false) != q.doubtful() {
-				return q.track.cutOff // only where no other holder is left
-			}
-			if c.unseen > 1 && !c.heard() {
-				return scale(p.work, c.takes(r)*c.demand[r])
-			}
-			return scale(p.work, c.takes(r))
-		}))
+		c.hold(p, c.fastest(p))
 		mine = append(mine, p)
 	}
 	c.spread(mine)
 	if !q.admitted {
 		q.admitted = true
 		slices.SortStableFunc(q.parts, func(a, b *part) int { return cmp.Compare(a.work, b.work) })
+		if c.watched != nil {
+			c.look(q, mine)
+		}
 		c.admit(q, mine)
 	}
 }
@@ -846,15 +851,13 @@
 	}
 }
 
-// admit turns a new retrieval back that cannot be expected to make its agreed time. Guards against:
-// overload, of all or of the holders of one shard. Should also cover: shards whose holders are all gone.
-// Could hurt: if the expected times are far too long.
-func (c *Coordinator) admit(q *retrieval, mine []*part) {
+// excess is by how much a retrieval is expected to miss the bound that its agreed time sets; 0: not at all.
+func (c *Coordinator) excess(q *retrieval) (over, bound time.Duration) {
 	left, steps := q.agreed-q.arrived, slowest(len(q.parts))
 	if q.track.fetch > 0 && q.step == 0 { // what follows takes as long as these do
 		left, steps = left-scale(q.track.unit, c.others()*slowest(q.track.fetch)), steps+slowest(q.track.fetch)
 	}
-	bound, over := scale(left, (1+lateSlack)/(q.track.longer*c.others())), time.Duration(0)
+	bound = scale(left, 1/(q.track.longer*c.others()))
 	if q.overShare {
 		bound = scale(bound, overShare)
 	}
@@ -864,16 +867,23 @@
 			mean, placed = mean+c.finish(p.at, 0), placed+1
 		}
 	}
-	over = max(over, scale(mean, steps/(c.others()*max(1, placed)))-bound)
-	if over <= 0 && q.reaches(func(p *part) bool {
+	over = scale(mean, steps/(c.others()*max(1, placed))) - bound
+	if most := over; !q.reaches(func(p *part) bool {
 		if p.at != nowhere {
-			over = max(over, c.finish(p.at, 0)-bound)
+			most = max(most, c.finish(p.at, 0)-bound)
 		}
 		return p.at == nowhere || c.finish(p.at, 0) <= bound
 	}) {
-		return
+		over = most
 	}
-	if c.letIn(q, mine, bound) {
+	return over, bound
+}
+
+// admit turns a new retrieval back that cannot be expected to make its agreed time. Guards against: overload,
+// of all or of the holders of one shard. Could hurt: if the expected times are far too long.
+func (c *Coordinator) admit(q *retrieval, mine []*part) {
+	over, bound := c.excess(q)
+	if over <= 0 || c.letIn(q, mine, bound) {
 		return
 	}
 	if c.shedAt == 0 || c.now > c.shedAt+shedQuiet {
@@ -991,8 +1001,8 @@
 }
 
 // erring tells whether a further leg waits: the replica's last brought no answer, just now or, for the last
-// leg of a part, ever. Guards against: all legs gone at once where holders are down or full. Should also
-// cover: fast errors. Could hurt: where all holders err for long.
+// leg of a part, ever. Guards against: all legs gone at once where holders err. Could hurt: where all err for
+// long.
 func (c *Coordinator) erring(r replica, t *track, last bool) bool {
 	return c.errs[r][t.index] > 0 && (last || c.now-c.errAt[r] < scale(errorWait, c.tempo))
 }
@@ -1013,7 +1023,7 @@
 		return p.work > left
 	}
 	if float64(len(c.outs[p.at])) >= c.limit[p.at] && q.step == 0 {
-		left = min(left, q.agreed+scale(q.agreed-q.arrived, lateSlack)-c.now)
+		left = min(left, q.agreed-c.now)
 	}
 	return scale(p.work+scale(c.outWork[p.at]+ahead[p.at], 1/c.lanes), c.takes(p.at)) > left
 }
@@ -1021,7 +1031,7 @@
 func (c *Coordinator) send(p *part, r replica) {
 	c.hold(p, nowhere)
 	p.held = false
-	base := scale(p.work+scale(c.outWork[r]+c.waits(r), 1/c.lanes), c.typical/c.size[r])
+	base := scale(p.work+scale(c.outWork[r]+c.waits(r), 1/c.lanes), c.takes(r)/c.pace[r])
 	if c.tells {
 		c.sentTo, c.sentWork = append(c.sentTo, c.cell[r]), c.sentWork+p.work
 		if p.of.sent == 0 && len(c.quota) > 0 {
--- a/decide/state.go
+++ b/decide/state.go
@@ -89,6 +89,7 @@
 	now, refilled, wakeAt, stalled, shedAt           time.Duration // shedAt: the last turning back
 	behind, reportAt                                 time.Duration // own core's lateness, as told; last load report
 	busy                                             float64       // learned from reports: share of the replicas' cores in use
+	watched                                          *watcher      // counts what other settings would decide; nil: off
 	tells, sized                                     bool          // messages to the others are allowed; sizes are listed
 	peersAt                                          time.Duration // last message from one
 	sentTo                                           []CellNumber  // where legs went in this turn
