Carry messages between co-ordinators, sizes and a watch mode in the program, off by default

Settings that the module now reads come from the program's configuration: bounds.peers with peers.listen and peers.others of the installation file (datagrams, at most 256 bytes, bounded, strangers dropped, bad ones counted), weightKind with sizes by model, and watch.settings: decisions stay as they are and the counters tell where those settings would have turned back, let in or sent elsewhere. What does not fit the platform's settings is refused at the start by name. Without these entries nothing changes: no socket is opened and the module is told that no messages go.

Tests on loopback: two co-ordinators tell each other, strangers and bad bytes, watching decides nothing, each wrong setting named.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -31,6 +31,7 @@
 	log        *log.Logger
 	Trace      bool // a line for each retrieval and leg; to be set before Serve
 
+	peers   *peers
 	module  *decide.Coordinator
 	tracks  map[string]decide.TrackIndex
 	zones   map[string]decide.ZoneIndex
@@ -119,10 +120,19 @@
 
 // begin starts the module from nothing but the list as it was last held.
 func (c *Coordinator) begin() error {
-	module, err := decide.New(c, c.deployment.seed(), c.deployment.settings)
+	settings, watched, err := c.deployment.settled(c.fleet.installation)
+	if err != nil {
+		return err
+	}
+	module, err := decide.New(c, c.deployment.seed(), settings)
 	if err != nil {
 		return fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
+	if watched != nil {
+		if err := module.Watch(watched); err != nil {
+			return fmt.Errorf("installation: watch.settings: %w", err)
+		}
+	}
 	c.module = module
 	return nil
 }
@@ -133,6 +143,10 @@
 	if err != nil {
 		return fmt.Errorf("ROUTER_LISTEN: %w", err)
 	}
+	if err := c.meet(c.fleet.installation.Peers); err != nil {
+		_ = listener.Close()
+		return err
+	}
 	c.list.start(c)
 	c.front.start(c, listener)
 	c.watchCertificates()
@@ -142,6 +156,7 @@
 	c.run(c.endTurn, c.broken, c.over)
 	c.list.stop()
 	c.fleet.stop()
+	c.peers.close()
 	c.drivers.Wait()
 	c.log.Printf("event=ended %s", c.countersLine())
 	return nil
@@ -212,8 +227,13 @@
 }
 
 func (c *Coordinator) countersLine() string {
-	return fmt.Sprintf("%s accepted=%d evicted=%d busy=%d share=%.2f", c.counts.line(len(c.retrievals)),
+	line := fmt.Sprintf("%s accepted=%d evicted=%d busy=%d share=%.2f", c.counts.line(len(c.retrievals)),
 		c.front.accepted.Load(), c.front.evicted.Load(), c.busied.Load(), c.gate.Share())
+	if w, ok := c.module.Watched(); ok {
+		line += fmt.Sprintf(" watched=%d would_turn_back=%d would_let_in=%d watched_parts=%d would_go_elsewhere=%d",
+			w.Retrievals, w.TurnedBack, w.LetIn, w.Parts, w.Elsewhere)
+	}
+	return line
 }
 
 func (c *Coordinator) over() bool { return c.gone && len(c.retrievals) == 0 }
@@ -249,6 +269,3 @@
 
 // FollowList asks discovery to tell of changes.
 func (c *Coordinator) FollowList() { c.list.follow() }
-
-// Tell carries out decide.Host.
-func (c *Coordinator) Tell([]byte) {}
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -32,6 +32,8 @@
 	RefusedQuestions         int // as no whole answer could come in time
 	Lists, ListFailures      int
 	Broken, Reloads          int
+	PeerMessages             int // from other co-ordinators
+	BadPeerMessages          int // that were none
 }
 
 var outcomeNames = [9]string{
@@ -46,9 +48,10 @@
 	for i, name := range outcomeNames {
 		s += fmt.Sprintf(" legs_%s=%d", name, n.Outcomes[i])
 	}
-	return s + fmt.Sprintf(" late=%d opened=%d refused=%d dropped=%d spoilt=%d silent=%d goes_away=%d limit_reached=%d tls_failed=%d certificates_running_out=%d lists=%d list_failures=%d broken=%d reloads=%d questions=%d two_phases=%d pruned=%d bad_summaries=%d refused_questions=%d",
+	return s + fmt.Sprintf(" late=%d opened=%d refused=%d dropped=%d spoilt=%d silent=%d goes_away=%d limit_reached=%d tls_failed=%d certificates_running_out=%d lists=%d list_failures=%d broken=%d reloads=%d questions=%d two_phases=%d pruned=%d bad_summaries=%d refused_questions=%d peer_messages=%d bad_peer_messages=%d",
 		n.Late, n.Opened, n.Refused, n.Dropped, n.Spoilt, n.Silent, n.Leaving, n.LimitReached, n.TLSFailed, n.RunningOut,
-		n.Lists, n.ListFailures, n.Broken, n.Reloads, n.Questions, n.TwoPhases, n.Pruned, n.BadSummaries, n.RefusedQuestions)
+		n.Lists, n.ListFailures, n.Broken, n.Reloads, n.Questions, n.TwoPhases, n.Pruned, n.BadSummaries, n.RefusedQuestions,
+		n.PeerMessages, n.BadPeerMessages)
 }
 
 // beliefs tells what the module believes of its tracks and replicas, for a person to read.
--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -255,7 +255,8 @@
 	if at, ok := c.zones[t.Zone]; ok {
 		zone = at
 	}
-	c.module.ReplicaListed(c.now, r.id, lives[t.State], started, cell, zone, 0)
+	c.module.ReplicaListed(c.now, r.id, lives[t.State], started, cell, zone,
+		size(c.fleet.installation, t.Model))
 }
 
 // change applies changes to the list that is held.
--- /dev/null
+++ b/coordinator/peers.go
@@ -0,0 +1,126 @@
+package coordinator
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/netip"
+	"path"
+	"sync/atomic"
+
+	"terntray/decide"
+	"terntray/installation"
+)
+
+const (
+	mostPeerMessage = 256  // bytes, as settings allow; one more is read to tell what is longer
+	mostPeersUnread = 1024 // messages that wait to be read; what comes beyond is dropped, as any may be lost
+)
+
+// peers carries messages between co-ordinators as datagrams. A nil one carries none.
+type peers struct {
+	socket *net.UDPConn
+	others []netip.AddrPort
+	index  map[netip.AddrPort]decide.PeerIndex
+	unread atomic.Int64
+}
+
+// settled gives the settings that the module starts with, and those to watch; nil: none. What the installation file says
+// of co-ordinators and sizes must fit them.
+func (d *Deployment) settled(in *installation.Installation) (settings, watched map[string]string, err error) {
+	allowed, weighed := d.settings["bounds.peers"] == "true", d.settings["weightKind"]
+	if len(in.Peers.Others) > 0 && !allowed {
+		err = errors.New("installation: peers.others: setting bounds.peers allows no messages between co-ordinators")
+	}
+	if len(in.Sizes) > 0 && weighed != "nominal" && weighed != "rough" && in.Watch.Settings["weightKind"] == "" {
+		err = errors.Join(err, fmt.Errorf("installation: sizes: setting weightKind is %q, wanted nominal or rough", weighed))
+	}
+	settings = d.settings
+	if allowed && len(in.Peers.Others) == 0 { // nobody is there to tell
+		settings = maps.Clone(settings)
+		settings["bounds.peers"] = "false"
+	}
+	if len(in.Watch.Settings) > 0 {
+		watched = maps.Clone(settings)
+		maps.Copy(watched, in.Watch.Settings)
+	}
+	return settings, watched, err
+}
+
+// size is how large a replica of a model is beside others, 0 where nothing says it.
+func size(in *installation.Installation, model string) float64 {
+	for _, s := range in.Sizes {
+		if fits, _ := path.Match(s.Model, model); fits {
+			return s.Size
+		}
+	}
+	return 0
+}
+
+// meet opens the socket and reads until it is closed.
+func (c *Coordinator) meet(in installation.Peers) error {
+	if len(in.Others) == 0 {
+		return nil
+	}
+	p := &peers{index: map[netip.AddrPort]decide.PeerIndex{}}
+	for n, other := range in.Others {
+		addr, err := net.ResolveUDPAddr("udp4", other)
+		if err != nil {
+			return fmt.Errorf("installation: peers.others[%d]: %w", n, err)
+		}
+		at := netip.AddrPortFrom(addr.AddrPort().Addr().Unmap(), addr.AddrPort().Port())
+		p.others, p.index[at] = append(p.others, at), decide.PeerIndex(n)
+	}
+	addr, err := net.ResolveUDPAddr("udp4", in.Listen)
+	if err == nil {
+		p.socket, err = net.ListenUDP("udp4", addr)
+	}
+	if err != nil {
+		return fmt.Errorf("installation: peers.listen: %w", err)
+	}
+	c.peers = p
+	c.drivers.Go(func() { c.hearPeers(p) })
+	return nil
+}
+
+func (c *Coordinator) hearPeers(p *peers) {
+	buffer := make([]byte, mostPeerMessage+1)
+	for {
+		n, from, err := p.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		peer, known := p.index[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if err != nil || !known || p.unread.Load() >= mostPeersUnread {
+			continue
+		}
+		message := append([]byte(nil), buffer[:n]...)
+		p.unread.Add(1)
+		c.post(func() {
+			p.unread.Add(-1)
+			if err := c.module.PeerTells(c.now, peer, message); err != nil {
+				c.counts.BadPeerMessages++
+				c.seldom("event=bad_peer_message cause=%q", err)
+				return
+			}
+			c.counts.PeerMessages++
+		})
+	}
+}
+
+// Tell carries out decide.Host. A message that cannot go is lost, as any may be.
+func (c *Coordinator) Tell(message []byte) {
+	if c.peers == nil {
+		return
+	}
+	for _, other := range c.peers.others {
+		_, _ = c.peers.socket.WriteToUDPAddrPort(message, other)
+	}
+}
+
+func (p *peers) close() {
+	if p != nil {
+		_ = p.socket.Close()
+	}
+}
--- /dev/null
+++ b/coordinator/peers_test.go
@@ -0,0 +1,195 @@
+package coordinator
+
+import (
+	"encoding/json"
+	"io"
+	"log"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"terntray/decide"
+	"terntray/installation"
+	"terntray/internal/protocol"
+)
+
+// moved is a co-ordinator whose configuration has the settings and the installation file given.
+func moved(t *testing.T, settings map[string]string, file string, targets ...protocol.Target) (*Coordinator, error) {
+	t.Helper()
+	d := deployment(t, targets...)
+	for name, value := range settings {
+		d.settings[name] = value
+	}
+	if file != "" {
+		in, err := installation.Parse([]byte(file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Installation = in
+	}
+	return New(d, log.New(io.Discard, "", 0))
+}
+
+// freePort is a port on loopback that nobody has just now.
+func freePort(t *testing.T) string {
+	t.Helper()
+	s, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	return s.LocalAddr().String()
+}
+
+func peersFile(listen string, others ...string) string {
+	text, _ := json.Marshal(map[string]any{"peers": map[string]any{"listen": listen, "others": others}})
+	return string(text)
+}
+
+// until lets turns pass until something holds.
+func (c *Coordinator) until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if c.turn(func() {}, c.endTurn); holds() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// What one co-ordinator sends to replicas is told to the others as datagrams; what comes from elsewhere is not taken, and what
+// cannot be read is counted.
+func TestCoordinatorsTellEachOtherOnLoopback(t *testing.T) {
+	cell := 0
+	target := protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell}
+	first, second, stranger := freePort(t), freePort(t), freePort(t)
+	told := map[string]string{"bounds.peers": "true", "balancers": "40"}
+	a, err := moved(t, told, peersFile(first, second), target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := moved(t, told, peersFile(second, first), target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []*Coordinator{a, b} {
+		defer c.fleet.stop()
+		if err := c.meet(c.fleet.installation.Peers); err != nil {
+			t.Fatal(err)
+		}
+		defer c.drivers.Wait()
+		defer c.peers.close()
+		c.list.c, c.list.held = c, c.deployment.Known
+		c.list.retell()
+	}
+	near, far := net.Pipe()
+	defer far.Close()
+	query := &protocol.Query{ID: "q", Track: "look", Deadline: 5 * time.Second, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
+	a.turn(func() { a.arrives(newClient(a, near), query, a.now) }, a.endTurn)
+	if a.counts.Legs != 1 {
+		t.Fatalf("%d legs", a.counts.Legs)
+	}
+	b.until(t, "the other hears of the leg", func() bool { return b.counts.PeerMessages == 1 })
+	from, err := net.ResolveUDPAddr("udp4", stranger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := net.ListenUDP("udp4", from)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	to := b.peers.socket.LocalAddr().(*net.UDPAddr)
+	if _, err := s.WriteToUDP([]byte("who am I"), to); err != nil {
+		t.Fatal(err)
+	}
+	for _, bad := range [][]byte{{}, []byte("x"), make([]byte, 2000)} {
+		if _, err := a.peers.socket.WriteToUDP(bad, to); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.until(t, "three bad messages are counted", func() bool { return b.counts.BadPeerMessages == 3 })
+	if b.counts.PeerMessages != 1 {
+		t.Errorf("%d messages taken", b.counts.PeerMessages)
+	}
+}
+
+// Without addresses no socket is opened and the module is not told of messages that nobody would carry.
+func TestWithoutPeersNothingIsTold(t *testing.T) {
+	c, err := moved(t, map[string]string{"bounds.peers": "true"}, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.meet(c.fleet.installation.Peers); err != nil || c.peers != nil {
+		t.Errorf("%v, peers %v", err, c.peers)
+	}
+	settings, watched, err := c.deployment.settled(c.fleet.installation)
+	if err != nil || settings["bounds.peers"] != "false" || watched != nil {
+		t.Errorf("%v, peers %q, watched %v", err, settings["bounds.peers"], watched)
+	}
+	c.Tell([]byte{1}) // goes nowhere
+}
+
+func TestInstallationThatDoesNotFitTheSettingsIsNamed(t *testing.T) {
+	for file, want := range map[string]string{
+		peersFile("127.0.0.1:0", "127.0.0.1:9"):              "peers.others: setting bounds.peers allows no messages",
+		`{"sizes":[{"model":"slow-*","size":0.75}]}`:         `sizes: setting weightKind is "", wanted nominal or rough`,
+		`{"watch":{"settings":{"lanes.count":"1"}}}`:         "watch.settings: the settings to watch tell of other tracks",
+		`{"watch":{"settings":{"balancers":"many"}}}`:        "watch.settings: setting balancers is missing or unreadable",
+		`{"watch":{"settings":{"familyInfo.cells":"1000"}}}`: "watch.settings: the settings to watch tell of other tracks or shards",
+	} {
+		if _, err := moved(t, nil, file); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", file, err, want)
+		}
+	}
+}
+
+func TestSizesOfModelsReachTheModule(t *testing.T) {
+	in, err := installation.Parse([]byte(`{"sizes":[{"model":"slow-*","size":1.5},{"model":"*","size":2}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if size(in, "slow-2c") != 1.5 || size(in, "std-2c") != 2 || size(&installation.Installation{}, "std-2c") != 0 {
+		t.Error("a model has another's size")
+	}
+}
+
+// Watching, the program decides as before: the same legs go, and the counters tell what would have differed.
+func TestWatchModeCountsAndDecidesAsBefore(t *testing.T) {
+	run := func(file string) (legs int, line string) {
+		var targets []protocol.Target
+		for n, model := range []string{"slow", "slow", "std", "std"} {
+			cell := n % 2
+			targets = append(targets, protocol.Target{UID: "s-" + string(rune('a'+n)), Endpoint: "127.0.0.1:1", Model: model,
+				State: protocol.Ready, Cell: &cell})
+		}
+		c, err := moved(t, nil, file, targets...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.fleet.stop()
+		c.list.c, c.list.held = c, c.deployment.Known
+		c.list.retell()
+		near, far := net.Pipe()
+		defer far.Close()
+		k := newClient(c, near)
+		query := &protocol.Query{ID: "q", Track: "look", Deadline: 5 * time.Second}
+		for shard := range 4 {
+			query.Parts = append(query.Parts, protocol.QueryPart{Shard: shard, Weight: 0.25})
+		}
+		c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
+		return c.counts.Legs, c.countersLine()
+	}
+	legs, line := run("")
+	same, counted := run(`{"sizes":[{"model":"slow","size":0.1}],"watch":{"settings":{"balancers":"900","weightKind":"nominal"}}}`)
+	if legs == 0 || legs != same {
+		t.Errorf("%d legs, %d while watching", legs, same)
+	}
+	if strings.Contains(line, "watched") || !strings.Contains(counted, " watched=1 ") ||
+		strings.Contains(counted, "would_turn_back=0 ") && strings.Contains(counted, "would_go_elsewhere=0") {
+		t.Errorf("not watching: %s\nwatching: %s", line, counted)
+	}
+}
+
+var _ decide.Host = (*Coordinator)(nil)
--- a/installation/installation.go
+++ b/installation/installation.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"os"
 	"path"
 	"slices"
@@ -31,6 +32,8 @@
 	usualConns   = 1   // connections to a replica that take legs
 	mostStreams  = 10_000
 	mostConns    = 16
+	mostPeers    = 1000
+	mostSize     = 1000
 )
 
 // Installation is what a rendered file says.
@@ -39,6 +42,26 @@
 	HTTP2    HTTP2            `json:"http2"`
 	TLS      map[string]Files `json:"tls"` // by the name that a rule gives
 	Phases   Phases           `json:"phases"`
+	Peers    Peers            `json:"peers"`
+	Sizes    []Size           `json:"sizes"` // the first that fits a replica holds for it
+	Watch    Watch            `json:"watch"`
+}
+
+// Peers says how messages go between co-ordinators: as datagrams. Without others none goes.
+type Peers struct {
+	Listen string   `json:"listen"` // host:port
+	Others []string `json:"others"` // host:port, each where another co-ordinator listens
+}
+
+// Size says how large replicas of a model are beside those of others; what no rule names is of size 1.
+type Size struct {
+	Model string  `json:"model"` // pattern of path.Match
+	Size  float64 `json:"size"`
+}
+
+// Watch names settings, as the platform's file flattened names them, under which decisions are counted and not acted on.
+type Watch struct {
+	Settings map[string]string `json:"settings"`
 }
 
 // Rule says what replicas speak. A pattern is path.Match's; an empty one fits all.
@@ -162,6 +185,28 @@
 			wrong("tls."+name, "found no rule that names it, wanted one")
 		}
 	}
+	if len(i.Peers.Others) > mostPeers {
+		wrong("peers.others", "found %d, wanted %d at the most", len(i.Peers.Others), mostPeers)
+	}
+	if len(i.Peers.Others) > 0 || i.Peers.Listen != "" {
+		addrs := map[string]string{"peers.listen": i.Peers.Listen}
+		for n, other := range i.Peers.Others {
+			addrs[fmt.Sprintf("peers.others[%d]", n)] = other
+		}
+		for _, at := range slices.Sorted(maps.Keys(addrs)) {
+			if _, port, err := net.SplitHostPort(addrs[at]); err != nil || port == "" {
+				wrong(at, "found %q, wanted host:port", addrs[at])
+			}
+		}
+	}
+	for n, s := range i.Sizes {
+		if _, err := path.Match(s.Model, ""); err != nil || s.Model == "" {
+			wrong(fmt.Sprintf("sizes[%d].model", n), "found %q, wanted a pattern", s.Model)
+		}
+		if !(s.Size > 0 && s.Size <= mostSize) {
+			wrong(fmt.Sprintf("sizes[%d].size", n), "found %v, wanted above 0 to %v", s.Size, float64(mostSize))
+		}
+	}
 	return errors.Join(all...)
 }
 
