--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -124,6 +124,9 @@
 	if err != nil {
 		return err
 	}
+	if settings["bounds.peers"] != c.deployment.settings["bounds.peers"] {
+		c.log.Printf("event=not_taken_up words=%q", "bounds.peers allows messages, but peers.others of the installation file names nobody")
+	}
 	module, err := decide.New(c, c.deployment.seed(), settings)
 	if err != nil {
 		return fmt.Errorf("ROUTER_CONFIG: %w", err)
