Bound a failing peer socket's reading, and name the rarest letting in

Seen: hearPeers read on at once after any error but the close, so a socket that keeps failing would have spun a core (coordinator/peers.go); it waits 100 ms now. letTimes held a bare 60: it stands with the constants. No decision changes.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -111,16 +111,21 @@
 	}
 }
 
+// client tells the module the list that the deployment knows and gives a client whose answers nobody reads.
+func (c *Coordinator) client(t *testing.T) *client {
+	c.list.c, c.list.held = c, c.deployment.Known
+	c.list.retell()
+	near, far := net.Pipe()
+	t.Cleanup(func() { far.Close() })
+	return newClient(c, near)
+}
+
 // A client that asks to wait for a day and leaves must not be remembered for as long.
 func TestNothingOfARetrievalStaysOnceItsLegsHaveEnded(t *testing.T) {
 	cell := 0
 	c := made(t, protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell})
 	defer c.fleet.stop()
-	c.list.c, c.list.held = c, c.deployment.Known
-	c.list.retell()
-	near, far := net.Pipe()
-	defer far.Close()
-	k := newClient(c, near)
+	k := c.client(t)
 	query := &protocol.Query{ID: "q", Track: "look", Deadline: 24 * time.Hour, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
 	c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
 	if c.counts.Legs != 1 || len(c.timers) < 2 {
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -8,13 +8,15 @@
 	"net/netip"
 	"path"
 	"sync/atomic"
+	"time"
 
 	"terntray/decide"
 	"terntray/installation"
 )
 
 const (
-	mostPeerMessage = 256  // bytes, as settings allow; one more is read to tell what is longer
+	mostPeerMessage = 256 // bytes, as settings allow; one more is read to tell what is longer
+	peerErrorWait   = 100 * time.Millisecond
 	mostPeersUnread = 1024 // messages that wait to be read; what comes beyond is dropped, as any may be lost
 )
 
@@ -91,8 +93,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // whatever it is, the next reading must not spin on it
+			time.Sleep(peerErrorWait)
+			continue
+		}
 		peer, known := p.index[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-		if err != nil || !known || p.unread.Load() >= mostPeersUnread {
+		if !known || p.unread.Load() >= mostPeersUnread {
 			continue
 		}
 		message := append([]byte(nil), buffer[:n]...)
--- a/coordinator/peers_test.go
+++ b/coordinator/peers_test.go
@@ -80,13 +80,10 @@
 		}
 		defer c.drivers.Wait()
 		defer c.peers.close()
-		c.list.c, c.list.held = c, c.deployment.Known
-		c.list.retell()
+		c.client(t)
 	}
-	near, far := net.Pipe()
-	defer far.Close()
 	query := &protocol.Query{ID: "q", Track: "look", Deadline: 5 * time.Second, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
-	a.turn(func() { a.arrives(newClient(a, near), query, a.now) }, a.endTurn)
+	a.turn(func() { a.arrives(a.client(t), query, a.now) }, a.endTurn)
 	if a.counts.Legs != 1 {
 		t.Fatalf("%d legs", a.counts.Legs)
 	}
@@ -169,11 +166,7 @@
 			t.Fatal(err)
 		}
 		defer c.fleet.stop()
-		c.list.c, c.list.held = c, c.deployment.Known
-		c.list.retell()
-		near, far := net.Pipe()
-		defer far.Close()
-		k := newClient(c, near)
+		k := c.client(t)
 		query := &protocol.Query{ID: "q", Track: "look", Deadline: 5 * time.Second}
 		for shard := range 4 {
 			query.Parts = append(query.Parts, protocol.QueryPart{Shard: shard, Weight: 0.25})
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -86,6 +86,7 @@
 
 	letFirst  = 500 * time.Millisecond // from turning back to the first that is let in all the same
 	letMost   = 2 * time.Second        // longest wait for the next after a late one
+	letRarest = 60.0                   // times these, among many: about a minute to the next at the most
 	mostLet   = 64.0                   // retrievals let in so at a time; from then on enough is learned
 	shedQuiet = 5 * time.Second        // without turning back or load reports, after which that counts as ended
 	staleTook = 6 * time.Millisecond   // a connection that drops within it was of no use from the first
@@ -897,7 +898,7 @@
 // each lets in weighs on all; large ones cost more.
 func (c *Coordinator) letTimes(q *retrieval) float64 {
 	crowd := max(1, float64(c.balancers)/fewAlike)
-	return c.tempo * min(60, crowd*crowd*max(1, float64(len(q.parts))/scoutsMany))
+	return c.tempo * min(letRarest, crowd*crowd*max(1, float64(len(q.parts))/scoutsMany))
 }
 
 // letIn lets a retrieval in that would be turned back, if nothing is out that could show whether the replicas
