--- a/decide/decide.go
+++ b/decide/decide.go
@@ -554,7 +554,7 @@
 		}
 		c.demand[r] = 0
 		for back := range c.reach { // a cell may have many, and each its part
-			c.demand[r] += active / float64(c.cells) / max(1, c.served[(int(c.cell[r])-back+c.cells)%c.cells])
+			c.demand[r] += max(1, active/float64(c.cells)) / max(1, c.served[(int(c.cell[r])-back+c.cells)%c.cells])
 		}
 		c.watch(replica(r))
 		c.unload(replica(r), func(l *leg) bool { return l.passed > 0 && c.stuck(l) }) // lost, it would hold a place
