Tell other co-ordinators of legs that ended and how late, as the queue and pace of a replica

At fault: `waits` worked told work off at a replica's usual pace, whether it was done or not, and `pace` is learned from own replies alone, one in 3 to 20 s, and fades in 10 s between them. Now messages tell legs at an end (gathered for 100 ms) and, where they took twice the expected time or more, how many times; what ended is no longer ahead, what is lost fades in 2 s, and lateness counts for the pace as own replies do. Version 2 of the message; version 1 is refused and counted, and costs only what is known.

--- a/decide/ahead.go
+++ b/decide/ahead.go
@@ -3,36 +3,76 @@
 import (
 	"encoding/binary"
 	"errors"
+	"math"
 	"time"
 )
 
-// What co-ordinators tell each other of the legs that they sent, as bytes. Nothing here chooses anything.
+// What co-ordinators tell each other of their legs, gathered and as bytes. Nothing here chooses anything.
 
 // PeerIndex is a co-ordinator's number among all.
 type PeerIndex int
 
+// legsTold is what a message tells of its legs.
+type legsTold int
+
+const (
+	sentLegs   legsTold = iota // just sent, and for whom
+	endedLegs                  // at an end, in about the time expected or with nothing to tell of it
+	lateLegs                   // at an end, or called off, so many times later than expected
+	kindsOfLeg = 3
+)
+
 const (
-	aheadMark    = 0xa7                   // the first byte: so told, version 1
-	aheadHead    = 5                      // the mark, how the cells follow, the mean work of a leg, how many tenants follow
+	aheadMark    = 0xa8                   // the first byte: so told, version 2
+	aheadHead    = 5                      // the mark, what is told and how the cells follow, the mean work of a leg, one byte more
 	aheadUnit    = 100 * time.Microsecond // of that work
-	aheadList    = 0                      // a cell for each leg
-	aheadMap     = 1                      // two bits for each cell: its legs, three at the most
+	aheadMap     = 1                      // two bits for each cell, its legs, three at the most; else a cell for each leg
+	kindShift    = 1                      // above that bit: which legs
+	lateUnit     = 8                      // eighths: how many times later, in the byte that else counts tenants
 	mostMessage  = 256                    // bytes
 	mostOfMap    = 3
 	mostTenants  = 16                                          // in one message, each for a retrieval let in
 	mostOfCells  = (mostMessage - aheadHead - mostTenants) / 3 // legs that a list holds, as a cell takes three bytes at the most
 	cellsOfAByte = 4
+	mostGathered = 4096 // legs; a turn that sends or ends more tells of so many
 )
 
 var errAhead = errors.New("the message is none that co-ordinators of this kind send")
 
-// encodeAhead tells legs by the cells they went to, and their mean work, in as few bytes as it takes, and whose retrievals
-// were let in.
-func encodeAhead(to []CellNumber, work time.Duration, tenants []TenantIndex, cells int) (messages [][]byte) {
+// tally gathers legs of one kind until they are told.
+type tally struct {
+	cells   []CellNumber
+	tenants []TenantIndex // of retrievals let in
+	work    time.Duration // of all legs
+	late    float64       // sum of the logarithms of how many times later they were
+	since   time.Duration // the first was gathered
+}
+
+func (t *tally) add(now time.Duration, cell CellNumber, work time.Duration, times float64) {
+	if len(t.cells) == 0 {
+		t.since = now
+	}
+	if len(t.cells) < mostGathered {
+		t.cells, t.work, t.late = append(t.cells, cell), t.work+work, t.late+math.Log(times)
+	}
+}
+
+// take gives the messages that tell what was gathered, in as few bytes as it takes, and begins anew.
+func (t *tally) take(kind legsTold, cells int) (messages [][]byte) {
+	if len(t.cells) == 0 {
+		return nil
+	}
+	n, to, tenants := len(t.cells), t.cells, t.tenants
+	work, late := t.work/time.Duration(n), math.Exp(t.late/float64(n))
 	head := func(how byte) []byte {
 		some := tenants[:min(len(tenants), mostTenants)]
 		tenants = tenants[len(some):]
-		h := append(binary.BigEndian.AppendUint16([]byte{aheadMark, how}, uint16(min(0xffff, work/aheadUnit))), byte(len(some)))
+		last := byte(len(some))
+		if kind == lateLegs {
+			last = byte(min(255, late*lateUnit))
+		}
+		h := []byte{aheadMark, byte(kind)<<kindShift | how}
+		h = append(binary.BigEndian.AppendUint16(h, uint16(min(0xffff, work/aheadUnit))), last)
 		for _, t := range some {
 			h = append(h, byte(t))
 		}
@@ -42,7 +82,7 @@
 	for len(to) > 0 {
 		some := to[:min(len(to), mostOfCells)]
 		if size > mostMessage || len(some) == len(to) && len(to) < size-aheadHead-mostTenants {
-			list := head(aheadList)
+			list := head(0)
 			for _, cell := range some {
 				list = binary.AppendUvarint(list, uint64(cell))
 			}
@@ -63,45 +103,71 @@
 		}
 		messages, to = append(messages, full), rest
 	}
+	*t = tally{cells: t.cells[:0], tenants: t.tenants[:0]}
 	return messages
 }
 
-// decodeAhead gives for each cell how many legs went there, and their mean work, and each tenant of a retrieval let in; nothing
-// of a message that is not sound.
-func decodeAhead(message []byte, cells int, told func(cell CellNumber, legs int, work time.Duration), in func(TenantIndex)) error {
-	if len(message) <= aheadHead || len(message) > mostMessage || message[0] != aheadMark || message[1] > aheadMap ||
-		message[4] > mostTenants || len(message) <= aheadHead+int(message[4]) {
+// legsAt is what a message tells of one cell; late is 0 but for legs that were late.
+type legsAt struct {
+	kind legsTold
+	cell CellNumber
+	legs int
+	work time.Duration // the mean of those in the message
+	late float64
+}
+
+// decodeAhead gives what a message tells of each cell, and each tenant of a retrieval let in; nothing of one that is not
+// sound.
+func decodeAhead(message []byte, cells int, told func(legsAt), in func(TenantIndex)) error {
+	if len(message) <= aheadHead || len(message) > mostMessage || message[0] != aheadMark {
 		return errAhead
 	}
-	work, body := time.Duration(binary.BigEndian.Uint16(message[2:]))*aheadUnit, message[aheadHead+int(message[4]):]
-	tenants := message[aheadHead : aheadHead+int(message[4])]
-	if message[1] == aheadMap {
-		if len(body) != (cells+cellsOfAByte-1)/cellsOfAByte {
+	what := legsAt{kind: legsTold(message[1] >> kindShift), legs: 1, work: time.Duration(binary.BigEndian.Uint16(message[2:])) * aheadUnit}
+	some := int(message[4])
+	switch what.kind {
+	case sentLegs:
+	case endedLegs:
+		if some != 0 {
+			return errAhead
+		}
+	case lateLegs:
+		if what.late = float64(some) / lateUnit; what.late <= 1 {
 			return errAhead
 		}
-		for _, t := range tenants {
-			in(TenantIndex(t))
+		some = 0
+	default:
+		return errAhead
+	}
+	if some > mostTenants || len(message) <= aheadHead+some {
+		return errAhead
+	}
+	tenants, body := message[aheadHead:aheadHead+some], message[aheadHead+some:]
+	var all []legsAt
+	if message[1]&aheadMap > 0 {
+		if len(body) != (cells+cellsOfAByte-1)/cellsOfAByte {
+			return errAhead
 		}
 		for cell := range cells {
-			if legs := int(body[cell/cellsOfAByte] >> (2 * (cell % cellsOfAByte)) & mostOfMap); legs > 0 {
-				told(CellNumber(cell), legs, work)
+			what.cell, what.legs = CellNumber(cell), int(body[cell/cellsOfAByte]>>(2*(cell%cellsOfAByte))&mostOfMap)
+			if what.legs > 0 {
+				all = append(all, what)
 			}
 		}
-		return nil
-	}
-	var all []CellNumber
-	for len(body) > 0 {
-		cell, n := binary.Uvarint(body)
-		if n <= 0 || cell >= uint64(cells) {
-			return errAhead
+	} else {
+		for len(body) > 0 {
+			cell, n := binary.Uvarint(body)
+			if n <= 0 || cell >= uint64(cells) {
+				return errAhead
+			}
+			what.cell = CellNumber(cell)
+			all, body = append(all, what), body[n:]
 		}
-		all, body = append(all, CellNumber(cell)), body[n:]
 	}
 	for _, t := range tenants {
 		in(TenantIndex(t))
 	}
-	for _, cell := range all {
-		told(cell, 1, work)
+	for _, w := range all {
+		told(w)
 	}
 	return nil
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -103,6 +103,8 @@
 	spreads    = 0.5                    // times one part's time, for each e-fold of parts, to the slowest
 	fullWait   = 400 * time.Millisecond // from a leg turned away to the next there
 	peersQuiet = 1 * time.Second        // without a message, after which none is counted on
+	toldLate   = 2.0                    // times the expected time; from then on others are told how late
+	tellWait   = 100 * time.Millisecond // from a leg's end until the others are told, as messages cost
 	overShare  = 0.3                    // of the agreed time that traffic past its share may expect
 	shareBurst = 2.0                    // seconds of its quota that a tenant may send in one go
 	leastBurst = 2.0                    // retrievals; the least of it
@@ -147,7 +149,7 @@
 		c.index[id], c.id[r], c.started[r], c.growing[r] = r, id, LongAgo, false
 		c.pace[r], c.recent[r], c.usual[r], c.limit[r] = 1, 1, 1, startCap
 		c.credit[r], c.ceiling[r] = startCredit, maxCap
-		c.toldAt[r], c.ahead[r], c.fullTo[r], c.demand[r] = 0, 0, 0, 1
+		c.toldAt[r], c.ahead[r], c.fullTo[r] = 0, 0, 0
 		c.sound(r)
 	}
 	c.life[r], c.cell[r], c.zone[r], c.size[r] = life, cell, zone, cmp.Or(max(0, size), 1)
@@ -284,6 +286,12 @@
 	p.of.touched = true
 	l.done, l.ran = true, how != TurnedAway && how != Unreachable && how != Moot
 	c.unload(r, func(o *leg) bool { return o == l })
+	if times := float64(now-l.sentAt-c.stalled+jitter) / float64(l.base+jitter); !c.tells {
+	} else if times > toldLate && c.behind == 0 {
+		c.tallies[lateLegs].add(now, c.cell[r], l.work, times)
+	} else if how != Cancelled { // else it may go on there
+		c.tallies[endedLegs].add(now, c.cell[r], l.work, 1)
+	}
 	switch how {
 	case Fulfilled:
 		if c.answered(r, t, l, took); r == p.of.suspect && l.sentAt > p.of.diedAt {
@@ -379,9 +387,6 @@
 	surprise := math.Log(float64(took+time.Millisecond) / float64(l.base+time.Millisecond))
 	off := max(-maxSurprise, min(maxSurprise, surprise-math.Log(c.pace[r])))
 	c.pace[r] *= math.Exp(paceStep * off)
-	if c.ahead[r] > 0 && off < 0 { // less was waiting than told
-		c.ahead[r], c.aheadAt[r] = scale(c.waits(r), math.Exp(off)), c.now
-	}
 	if !c.coldFor(r) {
 		queued := 1 - float64(l.work)/float64(l.base)
 		c.lanes = max(startLanes, min(mostLanes, c.lanes*math.Exp(-lanesStep*queued*off)))
@@ -510,11 +515,15 @@
 		q.touched = false
 	}
 	c.open = slices.DeleteFunc(c.open, func(q *retrieval) bool { return q.ended })
-	if n := len(c.sentTo); n > 0 {
-		for _, message := range encodeAhead(c.sentTo, c.sentWork/time.Duration(n), c.sentFor, c.cells) {
-			c.host.Tell(message)
+	for kind := range c.tallies {
+		t := &c.tallies[kind]
+		if kind == int(sentLegs) || now >= t.since+tellWait {
+			for _, message := range t.take(legsTold(kind), c.cells) {
+				c.host.Tell(message)
+			}
+		} else if len(t.cells) > 0 {
+			c.wake(t.since + tellWait)
 		}
-		c.sentTo, c.sentWork, c.sentFor = c.sentTo[:0], 0, c.sentFor[:0]
 	}
 	if len(c.open) > 0 {
 		c.wake(now + sweepEvery)
@@ -533,15 +542,6 @@
 	fade := math.Exp(-passed / flowFades)
 	c.flow, c.warm, c.blank = c.flow*fade, 0, c.blank*fade
 	size, active := 0.0, 0.0
-	clear(c.served)
-	for r := range c.id {
-		if c.life[r] == Active {
-			size, active = size+c.size[r], active+1
-		}
-		for back := 0; c.life[r] == Active && slices.Contains(c.aside[r], false) && back < c.reach; back++ {
-			c.served[(int(c.cell[r])-back+c.cells)%c.cells]++
-		}
-	}
 	if c.now > c.reportAt+shedQuiet {
 		c.busy = 0 // nobody tells it any more
 	}
@@ -549,12 +549,10 @@
 		c.asked[n] *= fade
 	}
 	for r := range c.id {
-		if c.life[r] == Active && !c.coldFor(replica(r)) {
-			c.warm++
-		}
-		c.demand[r] = 0
-		for back := range c.reach { // a cell may have many, and each its part
-			c.demand[r] += max(1, active/float64(c.cells)) / max(1, c.served[(int(c.cell[r])-back+c.cells)%c.cells])
+		if c.life[r] == Active {
+			if size, active = size+c.size[r], active+1; !c.coldFor(replica(r)) {
+				c.warm++
+			}
 		}
 		c.watch(replica(r))
 		c.unload(replica(r), func(l *leg) bool { return l.passed > 0 && c.stuck(l) }) // lost, it would hold a place
@@ -704,7 +702,6 @@
 	if c.now < c.fullTo[r] {
 		d += c.slowest
 	}
-	d = scale(d, c.wanted(r))
 	if c.zone[r] != c.ownZone {
 		d += c.zonePenalty
 	}
@@ -719,23 +716,28 @@
 	return c.pace[r] * c.typical / c.size[r]
 }
 
-// waits is the work that other co-ordinators have out at a replica, by what they told and the time since. It
-// stands in for the controller, which knows all work ahead.
+// waits is the work that other co-ordinators have out at a replica, by what they told of legs sent and ended,
+// less with time, as what is lost would stay. It stands in for the controller, which knows all work ahead.
 func (c *Coordinator) waits(r replica) time.Duration {
-	return max(0, c.ahead[r]-scale(c.now-c.aheadAt[r], c.lanes/c.takes(r)))
+	return scale(c.ahead[r], math.Exp(-float64(c.now-c.aheadAt[r])/float64(toldFresh)))
 }
 
-// mostAhead is the work beyond which nothing sent there is in time: what is late is mostly never begun.
-func (c *Coordinator) mostAhead() time.Duration { return scale(c.quickest, c.lanes) }
-
-// PeerTells takes what another co-ordinator says of the legs that it has just sent.
+// PeerTells takes what another co-ordinator says of its legs. Late ones count for the pace as own replies do.
 func (c *Coordinator) PeerTells(now time.Duration, from PeerIndex, message []byte) error {
 	c.clock(now)
-	err := decodeAhead(message, c.cells, func(cell CellNumber, legs int, work time.Duration) {
-		for _, r := range c.holders(ShardNumber(cell)) {
-			if c.cell[r] == cell {
-				c.ahead[r], c.aheadAt[r] = min(c.mostAhead(), c.waits(r)+time.Duration(legs)*work), now
+	err := decodeAhead(message, c.cells, func(l legsAt) {
+		for _, r := range c.holders(ShardNumber(l.cell)) {
+			if c.cell[r] != l.cell {
+				continue
+			}
+			work := time.Duration(l.legs) * l.work
+			if l.kind != sentLegs {
+				work = -work
+				if off := math.Log(max(1, l.late) / c.pace[r]); l.kind == lateLegs || off < 0 {
+					c.pace[r] *= math.Exp(paceStep * float64(l.legs) * max(-maxSurprise, min(maxSurprise, off)))
+				}
 			}
+			c.ahead[r], c.aheadAt[r] = max(0, min(scale(c.quickest, c.lanes), c.waits(r)+work)), now
 		}
 	}, func(tenant TenantIndex) {
 		if int(tenant) < len(c.quota) {
@@ -760,14 +762,6 @@
 // heard tells whether the others tell what they send.
 func (c *Coordinator) heard() bool { return c.peersAt > 0 && c.now < c.peersAt+peersQuiet }
 
-// wanted is how many times its usual share a replica is asked for as others are out, while nobody tells.
-func (c *Coordinator) wanted(r replica) float64 {
-	if c.unseen <= 1 || c.heard() {
-		return 1
-	}
-	return c.demand[r]
-}
-
 // choose picks the holder of a part's shard with the least cost, in time; below 0 it is out of the question.
 func (c *Coordinator) choose(p *part, cost func(replica) time.Duration) replica {
 	best, least := nowhere, time.Duration(math.MaxInt64)
@@ -784,7 +778,7 @@
 		if p.tried(r, false) != p.of.doubtful() {
 			return p.of.track.cutOff // only where no other holder is left
 		}
-		return scale(p.work, c.takes(r)*c.wanted(r))
+		return scale(p.work, c.takes(r))
 	})
 }
 
@@ -1032,9 +1026,9 @@
 	p.held = false
 	base := scale(p.work+scale(c.outWork[r]+c.waits(r), 1/c.lanes), c.takes(r)/c.pace[r])
 	if c.tells {
-		c.sentTo, c.sentWork = append(c.sentTo, c.cell[r]), c.sentWork+p.work
-		if p.of.sent == 0 && len(c.quota) > 0 {
-			c.sentFor = append(c.sentFor, p.of.tenant)
+		t := &c.tallies[sentLegs]
+		if t.add(c.now, c.cell[r], p.work, 1); p.of.sent == 0 && len(c.quota) > 0 {
+			t.tenants = append(t.tenants, p.of.tenant)
 		}
 	}
 	l := &leg{of: p, at: r, sentAt: c.now, base: base, work: p.work}
--- a/decide/state.go
+++ b/decide/state.go
@@ -86,19 +86,17 @@
 	quota, allowance                                 []float64 // per tenant: per second here, and left
 	asks, subscribed                                 bool
 	askAt, askWait, askEvery                         time.Duration
-	now, refilled, wakeAt, stalled, shedAt           time.Duration // shedAt: the last turning back
-	behind, reportAt                                 time.Duration // own core's lateness, as told; last load report
-	busy                                             float64       // learned from reports: share of the replicas' cores in use
-	watched                                          *watcher      // counts what other settings would decide; nil: off
-	tells, sized                                     bool          // messages to the others are allowed; sizes are listed
-	peersAt                                          time.Duration // last message from one
-	sentTo                                           []CellNumber  // where legs went in this turn
-	sentWork                                         time.Duration // of them all
-	sentFor                                          []TenantIndex // of the retrievals that were let in
-	typical                                          float64       // the mean size of those in use
-	shares                                           []float64     // of their cut-offs that retrievals came with of late
-	flow, warm, blank                                float64       // legs of late to warm replicas, how many there are, share of that time before the start
-	asked, served                                    []float64     // by cell: parts of late, holders in use
+	now, refilled, wakeAt, stalled, shedAt           time.Duration     // shedAt: the last turning back
+	behind, reportAt                                 time.Duration     // own core's lateness, as told; last load report
+	busy                                             float64           // learned from reports: share of the replicas' cores in use
+	watched                                          *watcher          // counts what other settings would decide; nil: off
+	tells, sized                                     bool              // messages to the others are allowed; sizes are listed
+	peersAt                                          time.Duration     // last message from one
+	tallies                                          [kindsOfLeg]tally // legs that the others are to be told of
+	typical                                          float64           // the mean size of those in use
+	shares                                           []float64         // of their cut-offs that retrievals came with of late
+	flow, warm, blank                                float64           // legs of late to warm replicas, how many there are, share of that time before the start
+	asked                                            []float64         // parts of late, by cell
 
 	open           []*retrieval // in order of arrival
 	byID           map[RequestID]*retrieval
@@ -124,7 +122,6 @@
 	pace                    []float64         // times the expected time that it takes
 	size                    []float64         // as listed, where that tells one replica's size beside another's
 	fullTo                  []time.Duration   // until then it counts as full, as it turned a leg away
-	demand                  []float64         // the shards that it holds, each shared with its other holders in use
 	ahead                   []time.Duration   // work that others had sent there and that was not done, as they told
 	aheadAt                 []time.Duration   // when it was so much
 	told                    []float64         // share of its cores in use, as it last said
--- a/decide/tables.go
+++ b/decide/tables.go
@@ -19,7 +19,7 @@
 		}
 	}
 	for _, figures := range []*[]float64{&c.pace, &c.recent, &c.usual, &c.limit, &c.credit, &c.ceiling, &c.told,
-		&c.size, &c.demand} {
+		&c.size} {
 		*figures = append(*figures, 0)
 	}
 	for _, d := range []*[]time.Duration{&c.started, &c.replyAt, &c.halvedAt, &c.errAt, &c.hereAt, &c.trialAt,
