Let seldomer in by the square of a retrieval's parts, not of the co-ordinators

Checked: `longer` is 1 and nothing is out; only one let in could correct the paces, and the next came after 6 s. At fault: `letTimes`, which took the square of how many more than eight co-ordinators there are for small retrievals too.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -893,7 +893,7 @@
 // each lets in weighs on all; large ones cost more.
 func (c *Coordinator) letTimes(q *retrieval) float64 {
 	crowd := max(1, float64(c.balancers)/fewAlike)
-	return c.tempo * min(letRarest, crowd*crowd*max(1, float64(len(q.parts))/scoutsMany))
+	return c.tempo * min(letRarest, crowd*math.Pow(max(1, float64(len(q.parts))/scoutsMany), 2))
 }
 
 // letIn lets a retrieval in that would be turned back, if nothing is out that could show whether the replicas
