Tell how many parts replicas do side by side, and take the slowest of many as measured

At fault: `answered`, the only place that moved it. Now the byte that messages of ended legs had free tells it, and each counts as a reply does. The test of parts ahead answers the first retrieval's legs before the second comes, which was turned back for them.

--- a/decide/ahead.go
+++ b/decide/ahead.go
@@ -29,6 +29,7 @@
 	aheadMap     = 1                      // two bits for each cell, its legs, three at the most; else a cell for each leg
 	kindShift    = 1                      // above that bit: which legs
 	lateUnit     = 8                      // eighths: how many times later, in the byte that else counts tenants
+	lanesUnit    = 16                     // sixteenths: how many parts side by side the sender counts on, there with ended ones
 	mostMessage  = 256                    // bytes
 	mostOfMap    = 3
 	mostTenants  = 16                                          // in one message, each for a retrieval let in
@@ -58,7 +59,7 @@
 }
 
 // take gives the messages that tell what was gathered, in as few bytes as it takes, and begins anew.
-func (t *tally) take(kind legsTold, cells int) (messages [][]byte) {
+func (t *tally) take(kind legsTold, cells int, lanes float64) (messages [][]byte) {
 	if len(t.cells) == 0 {
 		return nil
 	}
@@ -68,7 +69,10 @@
 		some := tenants[:min(len(tenants), mostTenants)]
 		tenants = tenants[len(some):]
 		last := byte(len(some))
-		if kind == lateLegs {
+		switch kind {
+		case endedLegs:
+			last = byte(min(255, lanes*lanesUnit))
+		case lateLegs:
 			last = byte(min(255, late*lateUnit))
 		}
 		h := []byte{aheadMark, byte(kind)<<kindShift | how}
@@ -107,13 +111,13 @@
 	return messages
 }
 
-// legsAt is what a message tells of one cell; late is 0 but for legs that were late.
+// legsAt is what a message tells of one cell; late is 0 but for legs that were late, lanes but for those that were not.
 type legsAt struct {
-	kind legsTold
-	cell CellNumber
-	legs int
-	work time.Duration // the mean of those in the message
-	late float64
+	kind        legsTold
+	cell        CellNumber
+	legs        int
+	work        time.Duration // the mean of those in the message
+	late, lanes float64
 }
 
 // decodeAhead gives what a message tells of each cell, and each tenant of a retrieval let in; nothing of one that is not
@@ -127,9 +131,10 @@
 	switch what.kind {
 	case sentLegs:
 	case endedLegs:
-		if some != 0 {
+		if what.lanes = float64(some) / lanesUnit; what.lanes < 1 {
 			return errAhead
 		}
+		some = 0
 	case lateLegs:
 		if what.late = float64(some) / lateUnit; what.late <= 1 {
 			return errAhead
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -100,7 +100,7 @@
 	unseenMore = 0.5                    // times the expected finish, for each e-fold of more
 	sameShare  = 0.01                   // of a cut-off; first tries differ by less on their way
 	sharesKept = 16                     // retrievals; the last ones that tell what first tries come with
-	spreads    = 0.5                    // times one part's time, for each e-fold of parts, to the slowest
+	spreads    = 1.2                    // times one part's time, for each e-fold of parts, to the slowest
 	fullWait   = 400 * time.Millisecond // from a leg turned away to the next there
 	peersQuiet = 1 * time.Second        // without a message, after which none is counted on
 	toldLate   = 2.0                    // times the expected time; from then on others are told how late
@@ -518,7 +518,7 @@
 	for kind := range c.tallies {
 		t := &c.tallies[kind]
 		if kind == int(sentLegs) || now >= t.since+tellWait {
-			for _, message := range t.take(legsTold(kind), c.cells) {
+			for _, message := range t.take(legsTold(kind), c.cells, c.lanes) {
 				c.host.Tell(message)
 			}
 		} else if len(t.cells) > 0 {
@@ -731,6 +731,9 @@
 				continue
 			}
 			work := time.Duration(l.legs) * l.work
+			if l.kind == endedLegs {
+				c.lanes = min(mostLanes, c.lanes*math.Pow(l.lanes/c.lanes, lanesStep))
+			}
 			if l.kind != sentLegs {
 				work = -work
 				if off := math.Log(max(1, l.late) / c.pace[r]); l.kind == lateLegs || off < 0 {
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -22,6 +22,7 @@
 	if len(m.sent) != 20 {
 		t.Fatalf("%d parts sent once one is in", len(m.sent))
 	}
+	m.answer(60 * ms)
 	q = m.ask(0, 20, 3*time.Second)
 	m.turn()
 	m.pass(20 * ms)
--- a/decide/move_test.go
+++ b/decide/move_test.go
@@ -256,7 +256,7 @@
 					to = append(to, CellNumber(n*n%cells))
 					want[n*n%cells]++
 				}
-				tenants, late, for2 := 0, 0.0, []TenantIndex(nil)
+				tenants, late, lanes, for2 := 0, 0.0, 0.0, []TenantIndex(nil)
 				if kind == sentLegs {
 					for2 = []TenantIndex{1, 2}
 				}
@@ -265,13 +265,13 @@
 						if got[l.cell] += l.legs; l.work != 123*ms || l.kind != kind {
 							t.Fatalf("%+v", l)
 						}
-						late = l.late
+						late, lanes = l.late, l.lanes
 					}, func(TenantIndex) { tenants++ })
 					if err != nil || len(b) > mostMessage {
 						t.Fatalf("%d cells, %d legs: %d bytes, %v", cells, legs, len(b), err)
 					}
 				}
-				if !slices.Equal(got, want) || tenants != len(for2) || (late > 3.8 && late < 4.1) != (kind == lateLegs) {
+				if !slices.Equal(got, want) || tenants != len(for2) || (late > 3.8 && late < 4.1) != (kind == lateLegs) || (lanes == 2) != (kind == endedLegs) {
 					t.Errorf("%d cells, %d legs: read otherwise, %d tenants, %.1f times late", cells, legs, tenants, late)
 				}
 			}
@@ -285,7 +285,7 @@
 	for _, cell := range to {
 		t.add(0, cell, work, late)
 	}
-	return t.take(kind, cells)
+	return t.take(kind, cells, 2)
 }
 
 // What has ended is no longer ahead. Work told was taken to be done at a replica's usual pace: of slow ones 177 ms were
@@ -330,6 +330,31 @@
 	}
 }
 
+// How many parts a replica does side by side was learned by each alone, from 1: the first reports of most of 39 co-ordinators were
+// turned back as too long, 17 of 202 on a quiet day.
+func TestPartsSideBySideAreTold(t *testing.T) {
+	m := newModel(t, 0)
+	m.settings["bounds.peers"] = "true"
+	m.many(40, 0)
+	one := tally{}
+	for range 100 {
+		one.add(m.now, 0, 100*ms, 1)
+	}
+	m.hear(one.take(endedLegs, 3, 4)...)
+	if m.c.lanes < 3.5 || m.c.lanes > 4 {
+		t.Errorf("%.2f counted on after a hundred legs told by one that counts on 4", m.c.lanes)
+	}
+	for range 100 {
+		one.add(m.now, 0, 100*ms, 1)
+	}
+	if m.hear(one.take(endedLegs, 3, 15)...); m.c.lanes > mostLanes {
+		t.Errorf("%.2f counted on, more than the most", m.c.lanes)
+	}
+	if one.add(m.now, 0, ms, 1); decodeAhead([]byte{aheadMark, byte(endedLegs) << kindShift, 0, 1, 3, 0}, 3, func(legsAt) {}, nil) == nil {
+		t.Error("less than one part at a time is believed")
+	}
+}
+
 // Ends are gathered for a tenth of a second, as messages cost; a leg called off may still be worked on, and is told only if
 // it was late.
 func TestEndsAreGatheredAndTold(t *testing.T) {
