Count time-outs and copies that other settings would decide, and refuse messages to nobody

Watch mode told of turning back, letting in and holders alone. `send` and `further` chose time-outs and copies as they acted, so they could not be asked under other settings: `limitOf` and `copyTo` choose now, and the watch asks both of a copy of the co-ordinator. New counters watched_legs, would_time_out_otherwise, would_not_copy, would_copy; a test has for each a case where it counts and one where it does not. bounds.peers with nobody in peers.others is refused at the start, by name, in place of a line in the log. In the model test a quarter of the histories has 40 co-ordinators, listed sizes and messages of which some are lost, spoilt or all lost.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -124,9 +124,6 @@
 	if err != nil {
 		return err
 	}
-	if settings["bounds.peers"] != c.deployment.settings["bounds.peers"] {
-		c.log.Printf("event=not_taken_up words=%q", "bounds.peers allows messages, but peers.others of the installation file names nobody")
-	}
 	module, err := decide.New(c, c.deployment.seed(), settings)
 	if err != nil {
 		return fmt.Errorf("ROUTER_CONFIG: %w", err)
@@ -235,6 +232,8 @@
 	if w, ok := c.module.Watched(); ok {
 		line += fmt.Sprintf(" watched=%d would_turn_back=%d would_let_in=%d watched_parts=%d would_go_elsewhere=%d",
 			w.Retrievals, w.TurnedBack, w.LetIn, w.Parts, w.Elsewhere)
+		line += fmt.Sprintf(" watched_legs=%d would_time_out_otherwise=%d would_not_copy=%d would_copy=%d",
+			w.Legs, w.TimeOuts, w.NotCopied, w.Copied)
 	}
 	return line
 }
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -35,14 +35,13 @@
 	if len(in.Peers.Others) > 0 && !allowed {
 		err = errors.New("installation: peers.others: setting bounds.peers allows no messages between co-ordinators")
 	}
+	if allowed && len(in.Peers.Others) == 0 {
+		err = errors.Join(err, errors.New("installation: peers.others: found nobody, wanted the other co-ordinators, as setting bounds.peers is true; false sends none"))
+	}
 	if len(in.Sizes) > 0 && weighed != "nominal" && weighed != "rough" && in.Watch.Settings["weightKind"] == "" {
 		err = errors.Join(err, fmt.Errorf("installation: sizes: setting weightKind is %q, wanted nominal or rough", weighed))
 	}
 	settings = d.settings
-	if allowed && len(in.Peers.Others) == 0 { // nobody is there to tell
-		settings = maps.Clone(settings)
-		settings["bounds.peers"] = "false"
-	}
 	if len(in.Watch.Settings) > 0 {
 		watched = maps.Clone(settings)
 		maps.Copy(watched, in.Watch.Settings)
--- a/coordinator/peers_test.go
+++ b/coordinator/peers_test.go
@@ -112,19 +112,19 @@
 	}
 }
 
-// Without addresses no socket is opened and the module is not told of messages that nobody would carry.
-func TestWithoutPeersNothingIsTold(t *testing.T) {
-	c, err := moved(t, map[string]string{"bounds.peers": "true"}, "")
+// Messages that the settings allow but that have nowhere to go are refused, by name, not taken and ignored; without the setting
+// no socket is opened.
+func TestMessagesWithoutOthersAreRefused(t *testing.T) {
+	if _, err := moved(t, map[string]string{"bounds.peers": "true"}, ""); err == nil || !strings.Contains(err.Error(), "peers.others: found nobody") {
+		t.Errorf("messages that go to nobody: %v", err)
+	}
+	c, err := moved(t, nil, "")
 	if err != nil {
 		t.Fatal(err)
 	}
 	if err := c.meet(c.fleet.installation.Peers); err != nil || c.peers != nil {
 		t.Errorf("%v, peers %v", err, c.peers)
 	}
-	settings, watched, err := c.deployment.settled(c.fleet.installation)
-	if err != nil || settings["bounds.peers"] != "false" || watched != nil {
-		t.Errorf("%v, peers %q, watched %v", err, settings["bounds.peers"], watched)
-	}
 	c.Tell([]byte{1}) // goes nowhere
 }
 
@@ -180,6 +180,7 @@
 		t.Errorf("%d legs, %d while watching", legs, same)
 	}
 	if strings.Contains(line, "watched") || !strings.Contains(counted, " watched=1 ") ||
+		!strings.Contains(counted, " watched_legs=4 would_time_out_otherwise=0 would_not_copy=0 would_copy=0") ||
 		strings.Contains(counted, "would_turn_back=0 ") && strings.Contains(counted, "would_go_elsewhere=0") {
 		t.Errorf("not watching: %s\nwatching: %s", line, counted)
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -170,8 +170,8 @@
 	c.askWait = min(askMost, c.askEvery/4, 2*c.askWait)
 }
 
-// follow asks to be told of changes to the list. Guards against: a list that is lost, silently or not.
-// Should also cover: a list service that is swamped. Could hurt: by adding to its load, hence the wait.
+// follow asks to be told of changes to the list. Guards against: a list that is lost, silently or not. Could
+// hurt: by adding to the load of a list service that is swamped, hence the wait.
 func (c *Coordinator) follow() {
 	if c.asks && !c.subscribed {
 		if c.now >= c.askAt {
@@ -207,15 +207,13 @@
 
 // laterTry tells whether a retrieval with this share of its cut-off left must be a client's further try: most
 // of late came with more, it alone with this; what is missing has passed. Guards against: work for agreed
-// times that are over. Could hurt: clients whose first tries each have a time of their own are not told from
-// others.
+// times that are over. Could hurt: clients whose first tries each have a time of their own.
 func (c *Coordinator) laterTry(share float64) bool {
 	usual, more := false, false
 	for n, s := range c.shares {
 		usual = usual || math.Abs(s-share) < sameShare
-		more = more || s > share && slices.ContainsFunc(c.shares[:n], func(o float64) bool {
-			return math.Abs(s-o) < sameShare
-		})
+		same := func(o float64) bool { return math.Abs(s-o) < sameShare }
+		more = more || s > share && slices.ContainsFunc(c.shares[:n], same)
 	}
 	if c.shares = append(c.shares, share); len(c.shares) > sharesKept {
 		c.shares = c.shares[1:]
@@ -803,9 +801,7 @@
 	if !q.admitted {
 		q.admitted = true
 		slices.SortStableFunc(q.parts, func(a, b *part) int { return cmp.Compare(a.work, b.work) })
-		if c.watched != nil {
-			c.look(q, mine)
-		}
+		c.look(func(as *Coordinator) { c.watched.comes(c, as, q, mine) })
 		c.admit(q, mine)
 	}
 }
@@ -852,7 +848,7 @@
 	}
 }
 
-// excess is by how much a retrieval is expected to miss the bound that its agreed time sets; 0: not at all.
+// excess is by how much a retrieval is expected to miss the bound that its agreed time sets.
 func (c *Coordinator) excess(q *retrieval) (over, bound time.Duration) {
 	at, mean, left, steps := map[replica]bool{}, time.Duration(0), q.agreed-q.arrived, 0.0
 	if q.track.fetch > 0 && q.step == 0 { // what follows takes as long as these do
@@ -1049,11 +1045,16 @@
 	} else {
 		c.flow++
 	}
-	limit := time.Duration(0)
-	if !c.mayCopy && !c.lastLeg(p) && p.of.track.effect != singleUse {
-		limit = scale(max(l.work, scale(l.base, c.pace[r])), patience) // no copy goes beside it
+	c.host.Send(p.id, c.id[r], c.limitOf(l))
+	c.look(func(as *Coordinator) { c.watched.leg(c.limitOf(l), as.limitOf(l)) })
+}
+
+// limitOf is when a leg ends by itself so that another can follow, where no copy may go beside it; 0: never.
+func (c *Coordinator) limitOf(l *leg) time.Duration {
+	if c.mayCopy || c.lastLeg(l.of) || l.of.of.track.effect == singleUse {
+		return 0
 	}
-	c.host.Send(p.id, c.id[r], limit)
+	return scale(max(l.work, scale(l.base, c.pace[l.at])), patience)
 }
 
 // trial sends a copy of a part to a holder that is set aside, if one is due there; where no copy may go, or
@@ -1084,38 +1085,41 @@
 
 // further sends a second copy of a part whose leg takes much longer than expected, where there is credit.
 func (c *Coordinator) further(q *retrieval) {
-	if q.ended || !c.mayCopy || q.doubtful() {
-		return
-	}
 	for _, p := range q.parts {
-		if p.in || p.gone || p.held || len(p.legs) == 0 || !c.mayRepeat(p) || !c.mayGoOn() {
-			continue
-		}
-		l := p.lastOut()
-		if l == nil {
-			continue
-		}
-		age, many := c.now-l.sentAt, float64(len(q.parts))/fewParts
-		if age < c.late(l, patience) && !c.stuck(l) {
-			continue
-		}
-		best := c.choose(p, func(r replica) time.Duration {
-			d := c.finish(r, p.work)
-			if p.tried(r, true) || c.credit[r] < 1 || float64(len(c.outs[r])) >= c.limit[r] ||
-				c.erring(r, q.track, false) || d >= min(q.endAt-c.now, max(age, 2*l.base)) ||
-				(!c.stuck(l) || c.idle(r) == 0) && c.now+scale(d, copyRoom*max(1, many)) <= q.agreed {
-				return -1
+		if l := p.lastOut(); l != nil && !q.ended && !q.doubtful() {
+			best := c.copyTo(q, p, l)
+			c.look(func(as *Coordinator) { c.watched.copies(l, best, as.copyTo(q, p, l)) })
+			if best != nowhere {
+				c.copies = max(0, c.copies-1)
+				c.send(p, best)
 			}
-			return d
-		})
-		last := q.missing() <= max(lastParts, float64(len(q.parts))/lastShare)
-		if best != nowhere && (last || c.copies*c.idle(best) >= 1) {
-			c.copies = max(0, c.copies-1)
-			c.send(p, best)
 		}
 	}
 }
 
+// copyTo is where a copy beside a part's last leg is to go now, or nowhere.
+func (c *Coordinator) copyTo(q *retrieval, p *part, l *leg) replica {
+	age, many := c.now-l.sentAt, float64(len(q.parts))/fewParts
+	if !c.mayCopy || p.in || p.gone || p.held || !c.mayRepeat(p) || !c.mayGoOn() ||
+		age < c.late(l, patience) && !c.stuck(l) {
+		return nowhere
+	}
+	best := c.choose(p, func(r replica) time.Duration {
+		d := c.finish(r, p.work)
+		if p.tried(r, true) || c.credit[r] < 1 || float64(len(c.outs[r])) >= c.limit[r] ||
+			c.erring(r, q.track, false) || d >= min(q.endAt-c.now, max(age, 2*l.base)) ||
+			(!c.stuck(l) || c.idle(r) == 0) && c.now+scale(d, copyRoom*max(1, many)) <= q.agreed {
+			return -1
+		}
+		return d
+	})
+	last := q.missing() <= max(lastParts, float64(len(q.parts))/lastShare)
+	if best == nowhere || last || c.copies*c.idle(best) >= 1 {
+		return best
+	}
+	return nowhere
+}
+
 func (c *Coordinator) coldFor(r replica) bool {
 	return c.tipMultiple > 0 && c.started[r] != LongAgo && c.now-c.started[r] < c.warmAfter+c.tipOver
 }
--- a/decide/model_test.go
+++ b/decide/model_test.go
@@ -127,6 +127,9 @@
 	if bits&32 != 0 {
 		s["orgs.count"], s["orgs.0.quotaPerS"] = "1", "4"
 	}
+	if bits&64 != 0 {
+		s["balancers"], s["bounds.peers"], s["weightKind"] = "40", "true", "nominal"
+	}
 	m.settings = s
 	for id := ReplicaID(100); id < 106; id++ {
 		m.replicas[id] = &modelReplica{started: LongAgo, cell: int(id) % 3}
@@ -468,4 +471,20 @@
 		m.pass(time.Duration(1+b) * ms)
 	}
 	m.turn()
+	m.echo(a, b)
+}
+
+// echo hands what was told back as if others told the same: some of it spoilt, some lost, at times all.
+func (m *model) echo(a, b int) {
+	messages := m.told
+	m.told = nil
+	for n, message := range messages {
+		switch {
+		case b%4 == 0 || (a+n)%3 == 0:
+			continue
+		case (a+n)%7 == 0:
+			message[(a+b)%len(message)] ^= byte(1 + b)
+		}
+		_ = m.c.PeerTells(m.now, PeerIndex(n%3), message) // one that is spoilt may be refused
+	}
 }
--- a/decide/move_test.go
+++ b/decide/move_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -246,6 +247,42 @@
 	}
 }
 
+// Each kind of decision that second copies reach is counted where it differs, and not where it does not.
+func TestWatchingCountsTimeOutsAndCopies(t *testing.T) {
+	run := func(allowed bool, watched string) (w Watched, legs int) {
+		bits := 0
+		if !allowed {
+			bits = 1
+		}
+		m := newModel(t, bits)
+		other := maps.Clone(m.settings)
+		other["bounds.secondCopies"] = watched
+		if err := m.c.Watch(other); err != nil {
+			t.Fatal(err)
+		}
+		q := m.ask(0, 1, 3*time.Second)
+		m.turn()
+		m.pass(2500 * ms)
+		w, _ = m.c.Watched()
+		return w, len(q.parts[0].legs)
+	}
+	for _, c := range []struct {
+		allowed                           bool
+		watched                           string
+		legs, timeOuts, notCopied, copied int
+	}{
+		{true, "true", 3, 0, 0, 0},
+		{true, "false", 3, 1, 2, 0}, // the last leg has no time-out under either
+		{false, "false", 1, 0, 0, 0},
+		{false, "true", 1, 1, 0, 1},
+	} {
+		w, legs := run(c.allowed, c.watched)
+		if legs != c.legs || w.Legs != legs || w.TimeOuts != c.timeOuts || w.NotCopied != c.notCopied || w.Copied != c.copied {
+			t.Errorf("copies allowed %v, watched %s: %d legs, %+v", c.allowed, c.watched, legs, w)
+		}
+	}
+}
+
 func TestAheadIsReadAsItWasTold(t *testing.T) {
 	for _, cells := range []int{1, 3, 162, 900, 5000} {
 		for _, legs := range []int{1, 7, 200, 1000} {
--- a/decide/state.go
+++ b/decide/state.go
@@ -29,6 +29,7 @@
 	base, work time.Duration // expected time at pace 1, and the part's own share of it
 	done, ran  bool          // ran: it may have, as far as its end tells
 	passed     int           // answers from there to later legs
+	told       bool          // watching has counted that others would copy it
 }
 
 type part struct {
--- a/decide/watch.go
+++ b/decide/watch.go
@@ -1,17 +1,24 @@
 package decide
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // What other settings would decide, counted beside what is decided. Nothing here decides: the choices are those of
 // decide.go, asked under other settings and not acted on.
 
-// Watched counts retrievals and, by kind, where the other settings would have decided otherwise.
+// Watched counts retrievals and legs and, by kind, where the other settings would have decided otherwise.
 type Watched struct {
 	Retrievals int // looked at, as they came
 	TurnedBack int // let in by their estimate, and by the other settings' not
 	LetIn      int // the other way round
 	Parts      int // of those retrievals
 	Elsewhere  int // parts whose fastest holder would have been another
+	Legs       int // sent
+	TimeOuts   int // of them, those that would have had another time-out, or none where they have one
+	NotCopied  int // copies that went and would not have
+	Copied     int // legs that got no copy at a time when they would have
 }
 
 type watcher struct {
@@ -41,18 +48,46 @@
 	return c.watched.counts, true
 }
 
-// look compares the decisions on a retrieval that has just been placed. What is learned and held is the same for both.
-func (c *Coordinator) look(q *retrieval, mine []*part) {
-	w, as := c.watched, *c
-	o := w.under
+// look asks what the other settings would decide, if any are watched: by a copy of this co-ordinator that knows and holds the
+// same. Nothing may be changed through it.
+func (c *Coordinator) look(ask func(as *Coordinator)) {
+	if c.watched == nil {
+		return
+	}
+	as, o := *c, c.watched.under
 	as.balancers, as.unseen, as.spreads, as.tempo, as.zonePenalty = o.balancers, o.unseen, o.spreads, o.tempo, o.zonePenalty
 	as.tells, as.sized, as.quickest, as.slowest = o.tells, o.sized, o.quickest, o.slowest
 	as.tipMultiple, as.startShare, as.warmAfter, as.tipOver = o.tipMultiple, o.startShare, o.warmAfter, o.tipOver
+	as.mayCopy, as.maxLegs = o.mayCopy, o.maxLegs
+	as.budgetSpan, as.budgetShare, as.budgetFree = o.budgetSpan, o.budgetShare, o.budgetFree
 	if as.tells {
 		as.peersAt = c.now // as if the others told
 	}
+	ask(&as)
+}
+
+// leg counts one that has just been sent.
+func (w *watcher) leg(limit, other time.Duration) {
+	if w.counts.Legs++; limit != other {
+		w.counts.TimeOuts++
+	}
+}
+
+// copies counts where a copy of a leg goes, and would go; each leg once for a copy that it did not get.
+func (w *watcher) copies(l *leg, to, other replica) {
+	switch {
+	case to != nowhere && other == nowhere:
+		w.counts.NotCopied++
+	case to == nowhere && other != nowhere && !l.told:
+		l.told = true
+		w.counts.Copied++
+	}
+}
+
+// comes compares the decisions on a retrieval that has just been placed.
+func (w *watcher) comes(c, as *Coordinator, q *retrieval, mine []*part) {
 	t := *q
-	t.track = &o.tracks[q.track.index]
+	t.track = &w.under.tracks[q.track.index]
 	learned := *q.track
 	learned.agreed, learned.cutOff, learned.fetch = t.track.agreed, t.track.cutOff, t.track.fetch
 	t.track, t.agreed = &learned, q.agreed+learned.agreed-q.track.agreed
