Let time-outs count what others have waiting while nobody tells

Checked: most estimates of the late ones were a tenth of the time that they took, and 24% of those were heard. At fault: the time-out in `limitOf`, six times an expected time that lacks what others have waiting, where admission counts it (`others`). Only where no copies may go and nobody tells.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1054,7 +1054,7 @@
 	if c.mayCopy || c.lastLeg(l.of) || l.of.of.track.effect == singleUse {
 		return 0
 	}
-	return scale(max(l.work, scale(l.base, c.pace[l.at])), patience)
+	return scale(max(l.work, scale(l.base, c.pace[l.at])), patience*c.others())
 }
 
 // trial sends a copy of a part to a holder that is set aside, if one is due there; where no copy may go, or
--- a/decide/move_test.go
+++ b/decide/move_test.go
@@ -433,6 +433,25 @@
 	}
 }
 
+// While nobody tells, what others have waiting is not in a leg's expected time; counted without it, each twentieth leg of
+// archivo-montevideo's big-2 timed out, 100 to 239 in 5 s, and as many were sent again in a queue that was only long.
+func TestTimeOutsCountWhatNobodyTells(t *testing.T) {
+	limit := func(balancers int, heard bool) time.Duration {
+		m := newModel(t, 1)
+		m.settings["bounds.peers"] = "true"
+		m.many(balancers, 0)
+		if heard {
+			m.hear(told(endedLegs, []CellNumber{0}, ms, 1, nil, 3)...)
+		}
+		q := m.ask(0, 1, 3*time.Second)
+		m.turn()
+		return m.c.limitOf(m.c.parts[q.parts[0].id].legs[0])
+	}
+	if few, silent, heard := limit(3, false), limit(60, false), limit(60, true); silent < few*18/10 || heard > few {
+		t.Errorf("time-outs of %v with 3 co-ordinators, %v with 60 that are silent, %v with 60 that tell", few, silent, heard)
+	}
+}
+
 func (m *model) hear(messages ...[]byte) {
 	for _, b := range messages {
 		if err := m.c.PeerTells(m.now, 7, b); err != nil {
