Play the operator's steps of the move on loopback, and count messages from strangers

docs/migration.md had been written but not tried. The program's test takes its steps with stand-ins: the new build with the old files (no new counter), the watch (watched, watched_legs, would_time_out_otherwise), two co-ordinators that tell each other (a leg and its end heard, bad_peer_messages 0), the setting without its file (ends at the start, by name), and back. Found on the way: messages from addresses that the file does not name were dropped uncounted (now stranger_peer_messages), and a file could name the co-ordinator's own address among the others (now refused).

--- /dev/null
+++ b/cmd/terntray/move_test.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func port(t *testing.T) string {
+	t.Helper()
+	s, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	return s.LocalAddr().String()
+}
+
+// The steps of docs/migration.md, as an operator takes them, with what is to be watched at each and the way back.
+func TestMoveStepByStep(t *testing.T) {
+	a, b := newStandin(t, "s-a", 0, fulfil), newStandin(t, "s-b", 0, fulfil)
+	ask := func(p *program, id string) {
+		t.Helper()
+		c := p.connect()
+		c.send(query("look", id, 10, 3))
+		if got := c.receive().values()[3]; got != value(a, 3) && got != value(b, 3) {
+			t.Fatalf("%s: answered %q", id, got)
+		}
+	}
+	old, _ := deployed(t, settings, a, b)
+	ask(old, "old")
+	if line := old.get("/counters"); strings.Contains(line, "watched=") || strings.Contains(line, "stranger") {
+		t.Errorf("step 1, the new build with the old files counts %s", line)
+	}
+	watching, _ := installed(t, settings, `{"watch":{"settings":{"balancers":"130","bounds.secondCopies":"false"}}}`, 1024, a, b)
+	ask(watching, "watching")
+	if n := watching.counters(); n["watched"] != 1 || n["watched_legs"] < 1 || n["would_time_out_otherwise"] < 1 {
+		t.Errorf("step 2 counts %v", n)
+	}
+	told := strings.Replace(strings.Replace(settings, `"balancers":1`, `"balancers":2`, 1), `"bounds":{`, `"bounds":{"peers":true,`, 1)
+	one, two := port(t), port(t)
+	file := func(listen, other string) string {
+		return fmt.Sprintf(`{"peers":{"listen":%q,"others":[%q]}}`, listen, other)
+	}
+	first, _ := installed(t, told, file(one, two), 1024, a, b)
+	second, _ := installed(t, told, file(two, one), 1024, a, b)
+	ask(first, "told")
+	until(t, "step 4, the other hears of the leg and of its end", func() bool { return second.counters()["peer_messages"] >= 2 })
+	stranger, err := net.Dial("udp4", two)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	if _, err := stranger.Write([]byte("who am I")); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "a stranger's message is counted", func() bool { return second.counters()["stranger_peer_messages"] == 1 })
+	if n := second.counters(); n["bad_peer_messages"] != 0 {
+		t.Errorf("step 4 counts %v", n)
+	}
+	// half of the way back: a setting without its file is refused at the start, in a line that names both
+	name := filepath.Join(t.TempDir(), "installation.json")
+	if err := os.WriteFile(name, []byte(`{}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r := newRoster(t, "127.0.0.1:0", a, b)
+	out, err := command(configure(t, r.Listener.Addr().String(), 1024, told, a, b), "serve", "-installation", name).CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "peers.others: found nobody") || !strings.Contains(string(out), "bounds.peers") {
+		t.Errorf("without others it ends with %v: %s", err, out)
+	}
+	back, _ := installed(t, settings, `{}`, 1024, a, b)
+	ask(back, "back")
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -229,6 +229,9 @@
 func (c *Coordinator) countersLine() string {
 	line := fmt.Sprintf("%s accepted=%d evicted=%d busy=%d share=%.2f", c.counts.line(len(c.retrievals)),
 		c.front.accepted.Load(), c.front.evicted.Load(), c.busied.Load(), c.gate.Share())
+	if c.peers != nil {
+		line += fmt.Sprintf(" stranger_peer_messages=%d", c.peers.strangers.Load())
+	}
 	if w, ok := c.module.Watched(); ok {
 		line += fmt.Sprintf(" watched=%d would_turn_back=%d would_let_in=%d watched_parts=%d would_go_elsewhere=%d",
 			w.Retrievals, w.TurnedBack, w.LetIn, w.Parts, w.Elsewhere)
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -26,6 +26,8 @@
 	others []netip.AddrPort
 	index  map[netip.AddrPort]decide.PeerIndex
 	unread atomic.Int64
+
+	strangers atomic.Int64 // messages from elsewhere, which nobody reads
 }
 
 // settled gives the settings that the module starts with, and those to watch; nil: none. What the installation file says
@@ -97,7 +99,11 @@
 			continue
 		}
 		peer, known := p.index[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-		if !known || p.unread.Load() >= mostPeersUnread {
+		if !known {
+			p.strangers.Add(1)
+			continue
+		}
+		if p.unread.Load() >= mostPeersUnread {
 			continue
 		}
 		message := append([]byte(nil), buffer[:n]...)
--- a/installation/installation.go
+++ b/installation/installation.go
@@ -196,6 +196,8 @@
 		for _, at := range slices.Sorted(maps.Keys(addrs)) {
 			if _, port, err := net.SplitHostPort(addrs[at]); err != nil || port == "" {
 				wrong(at, "found %q, wanted host:port", addrs[at])
+			} else if at != "peers.listen" && addrs[at] == i.Peers.Listen {
+				wrong(at, "found %q, this co-ordinator's own, wanted another's", addrs[at])
 			}
 		}
 	}
--- a/installation/installation_test.go
+++ b/installation/installation_test.go
@@ -37,6 +37,7 @@
 		`{"x":1}`: `unknown field "x"`,
 		`{} {}`:   "more behind",
 		`{"peers":{"listen":"127.0.0.1:1","others":["nowhere"]}}`:                       `peers.others[0]: found "nowhere", wanted host:port`,
+		`{"peers":{"listen":"127.0.0.1:1","others":["127.0.0.1:1"]}}`:                   `peers.others[0]: found "127.0.0.1:1", this co-ordinator's own`,
 		`{"peers":{"others":["127.0.0.1:2"]}}`:                                          `peers.listen: found "", wanted host:port`,
 		`{"sizes":[{"model":"[","size":1}]}`:                                            "sizes[0].model",
 		`{"sizes":[{"model":"a","size":0}]}`:                                            "sizes[0].size: found 0, wanted above 0",
