Keep what settings say in one struct, so that watching takes all of it

New test: twelve messages that are none (cut, version 1, unknown kind or cell, too long, absurd figures) are refused and not believed in part.

--- a/cmd/terntray/move_test.go
+++ b/cmd/terntray/move_test.go
@@ -7,17 +7,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
-)
 
-func port(t *testing.T) string {
-	t.Helper()
-	s, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer s.Close()
-	return s.LocalAddr().String()
-}
+	"terntray/internal/standin"
+)
 
 // The steps of docs/migration.md, as an operator takes them, with what is to be watched at each and the way back.
 func TestMoveStepByStep(t *testing.T) {
@@ -41,7 +33,7 @@
 		t.Errorf("step 2 counts %v", n)
 	}
 	told := strings.Replace(strings.Replace(settings, `"balancers":1`, `"balancers":2`, 1), `"bounds":{`, `"bounds":{"peers":true,`, 1)
-	one, two := port(t), port(t)
+	one, two := standin.FreePort("udp4"), standin.FreePort("udp4")
 	file := func(listen, other string) string {
 		return fmt.Sprintf(`{"peers":{"listen":%q,"others":[%q]}}`, listen, other)
 	}
--- a/coordinator/peers_test.go
+++ b/coordinator/peers_test.go
@@ -12,6 +12,7 @@
 	"terntray/decide"
 	"terntray/installation"
 	"terntray/internal/protocol"
+	"terntray/internal/standin"
 )
 
 // moved is a co-ordinator whose configuration has the settings and the installation file given.
@@ -31,17 +32,6 @@
 	return New(d, log.New(io.Discard, "", 0))
 }
 
-// freePort is a port on loopback that nobody has just now.
-func freePort(t *testing.T) string {
-	t.Helper()
-	s, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer s.Close()
-	return s.LocalAddr().String()
-}
-
 func peersFile(listen string, others ...string) string {
 	text, _ := json.Marshal(map[string]any{"peers": map[string]any{"listen": listen, "others": others}})
 	return string(text)
@@ -63,7 +53,7 @@
 func TestCoordinatorsTellEachOtherOnLoopback(t *testing.T) {
 	cell := 0
 	target := protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell}
-	first, second, stranger := freePort(t), freePort(t), freePort(t)
+	first, second, stranger := standin.FreePort("udp4"), standin.FreePort("udp4"), standin.FreePort("udp4")
 	told := map[string]string{"bounds.peers": "true", "balancers": "40"}
 	a, err := moved(t, told, peersFile(first, second), target)
 	if err != nil {
--- a/decide/move_test.go
+++ b/decide/move_test.go
@@ -452,6 +452,38 @@
 	}
 }
 
+// What is no message of this kind is refused by name, and nothing that it says is believed, not even in part.
+func TestMessagesThatAreNoneChangeNothing(t *testing.T) {
+	sound := told(sentLegs, []CellNumber{0, 1}, 100*ms, 1, []TenantIndex{0}, 3)[0]
+	changed := func(at int, to byte) []byte {
+		b := slices.Clone(sound)
+		b[at] = to
+		return b
+	}
+	for name, message := range map[string][]byte{
+		"empty": {}, "cut in its head": sound[:aheadHead], "cut behind its tenants": sound[:aheadHead+1],
+		"of version 1": changed(0, 0xa7), "of an unknown kind": changed(1, 7<<kindShift),
+		"with more tenants than it has": changed(4, mostTenants), "with too many tenants": changed(4, mostTenants+1),
+		"about an unknown cell": {aheadMark, 0, 0, 1, 0, 3}, "too long": append(slices.Clone(sound), make([]byte, mostMessage)...),
+		"late by nothing": {aheadMark, byte(lateLegs) << kindShift, 0, 1, lateUnit, 0},
+		"without lanes":   {aheadMark, byte(endedLegs) << kindShift, 0, 1, 0, 0},
+		"a map too short": {aheadMark, aheadMap, 0, 1, 0},
+	} {
+		m := newModel(t, 32)
+		m.settings["bounds.peers"] = "true"
+		m.many(40, 0)
+		left := m.c.allowance[0]
+		if err := m.c.PeerTells(m.now, 7, message); err == nil {
+			t.Errorf("a message %s is taken", name)
+		}
+		for r := range m.c.id {
+			if m.c.waits(replica(r)) != 0 || m.c.pace[r] != 1 || m.c.heard() || m.c.allowance[0] != left {
+				t.Errorf("a message %s is believed", name)
+			}
+		}
+	}
+}
+
 func (m *model) hear(messages ...[]byte) {
 	for _, b := range messages {
 		if err := m.c.PeerTells(m.now, 7, b); err != nil {
--- a/decide/state.go
+++ b/decide/state.go
@@ -69,14 +69,8 @@
 
 const nowhere replica = -1
 
-// Coordinator makes the decisions of one co-ordinator.
-type Coordinator struct {
-	host        Host
-	settings    map[string]string
-	missing     error
-	seed, draws uint64
-
-	tracks                                           []track
+// terms are what the settings say and what follows from them alone; they never change in a life.
+type terms struct {
 	self, balancers, cells, reach, maxLegs           int
 	mayCancel, mayCopy                               bool
 	ownZone                                          ZoneIndex
@@ -84,32 +78,48 @@
 	maxReturn, zonePenalty                           time.Duration // zonePenalty: what crossing zones costs
 	warmAfter, tipOver, budgetSpan                   time.Duration
 	tipMultiple, startShare, budgetFree, budgetShare float64
-	quota, allowance                                 []float64 // per tenant: per second here, and left
-	asks, subscribed                                 bool
-	askAt, askWait, askEvery                         time.Duration
-	now, refilled, wakeAt, stalled, shedAt           time.Duration     // shedAt: the last turning back
-	behind, reportAt                                 time.Duration     // own core's lateness, as told; last load report
-	busy                                             float64           // learned from reports: share of the replicas' cores in use
-	watched                                          *watcher          // counts what other settings would decide; nil: off
-	tells, sized                                     bool              // messages to the others are allowed; sizes are listed
-	peersAt                                          time.Duration     // last message from one
-	tallies                                          [kindsOfLeg]tally // legs that the others are to be told of
-	typical                                          float64           // the mean size of those in use
-	shares                                           []float64         // of their cut-offs that retrievals came with of late
-	flow, warm, blank                                float64           // legs of late to warm replicas, how many there are, share of that time before the start
-	asked                                            []float64         // parts of late, by cell
-
-	open           []*retrieval // in order of arrival
-	byID           map[RequestID]*retrieval
-	byNum          map[RetrievalNumber]*retrieval
-	held           [][]replica         // by cell: the holders of its shards; nil: to be made from the list
-	parts          map[RequestID]*part // those with legs out or of open retrievals
-	copies, thrift float64             // second copies earned, less where waste is dear
-	tempo          float64             // times the times that are meant for long agreed ones
-	spreads        float64             // times one part's time, for each e-fold of parts, to the slowest of them
-	unseen         float64             // times the expected finish, for what others have waiting
-	lanes          float64             // learned: parts a replica works on side by side
-	taken, extras  []time.Duration     // within the leg budget's span
+	quota                                            []float64 // per tenant, for each second
+	asks                                             bool      // the list comes when asked for
+	askEvery                                         time.Duration
+	tells, sized                                     bool    // messages to the others are allowed; sizes are listed
+	thrift                                           float64 // share of the usual copies, less where waste is dear
+	tempo                                            float64 // times the times that are meant for long agreed ones
+	spreads                                          float64 // times one part's time, for each e-fold of parts, to the slowest
+	unseen                                           float64 // times the expected finish, for what others have waiting
+}
+
+// Coordinator makes the decisions of one co-ordinator.
+type Coordinator struct {
+	terms
+
+	host        Host
+	settings    map[string]string
+	missing     error
+	seed, draws uint64
+
+	tracks                                 []track
+	allowance                              []float64 // per tenant: left of its quota
+	subscribed                             bool
+	askAt, askWait                         time.Duration
+	now, refilled, wakeAt, stalled, shedAt time.Duration     // shedAt: the last turning back
+	behind, reportAt                       time.Duration     // own core's lateness, as told; last load report
+	busy                                   float64           // learned from reports: share of the replicas' cores in use
+	watched                                *watcher          // counts what other settings would decide; nil: off
+	peersAt                                time.Duration     // last message from one
+	tallies                                [kindsOfLeg]tally // legs that the others are to be told of
+	typical                                float64           // the mean size of those in use
+	shares                                 []float64         // of their cut-offs that retrievals came with of late
+	flow, warm, blank                      float64           // legs of late to warm replicas, how many there are, share of that time before the start
+	asked                                  []float64         // parts of late, by cell
+
+	open          []*retrieval // in order of arrival
+	byID          map[RequestID]*retrieval
+	byNum         map[RetrievalNumber]*retrieval
+	held          [][]replica         // by cell: the holders of its shards; nil: to be made from the list
+	parts         map[RequestID]*part // those with legs out or of open retrievals
+	copies        float64             // second copies earned
+	lanes         float64             // learned: parts a replica works on side by side
+	taken, extras []time.Duration     // within the leg budget's span
 
 	index                   map[ReplicaID]replica
 	id                      []ReplicaID
--- a/decide/watch.go
+++ b/decide/watch.go
@@ -54,12 +54,8 @@
 	if c.watched == nil {
 		return
 	}
-	as, o := *c, c.watched.under
-	as.balancers, as.unseen, as.spreads, as.tempo, as.zonePenalty = o.balancers, o.unseen, o.spreads, o.tempo, o.zonePenalty
-	as.tells, as.sized, as.quickest, as.slowest = o.tells, o.sized, o.quickest, o.slowest
-	as.tipMultiple, as.startShare, as.warmAfter, as.tipOver = o.tipMultiple, o.startShare, o.warmAfter, o.tipOver
-	as.mayCopy, as.maxLegs = o.mayCopy, o.maxLegs
-	as.budgetSpan, as.budgetShare, as.budgetFree = o.budgetSpan, o.budgetShare, o.budgetFree
+	as := *c
+	as.terms = c.watched.under.terms
 	if as.tells {
 		as.peersAt = c.now // as if the others told
 	}
--- a/internal/standin/roster.go
+++ b/internal/standin/roster.go
@@ -89,3 +89,13 @@
 	defer r.Mu.Unlock()
 	return r.watches
 }
+
+// FreePort is an address of a datagram network on loopback that nobody has just now; empty if there is none.
+func FreePort(network string) string {
+	s, err := net.ListenPacket(network, "127.0.0.1:0")
+	if err != nil {
+		return ""
+	}
+	defer s.Close()
+	return s.LocalAddr().String()
+}
