Move what was not begun to a replica's new address, and bound one write of frames

Seen by reading, then forced in tests: legs queued on a connection to a replica's old address went there once it came up, to whoever has that address by then (pool.Listed took the address alone); one write of frames took all that waited and so marked all of it as begun (frames.Session.Output took no notice of its bound), so nothing of it could be withdrawn while a far side took no bytes. Both tests fail without their mend (tried, one line each).

--- a/internal/dialect/frames/session.go
+++ b/internal/dialect/frames/session.go
@@ -56,11 +56,11 @@
 // Bye does nothing: the connection's end says it.
 func (s *Session) Bye() {}
 
-// Output appends all that waits.
-func (s *Session) Output(b []byte, _ int) []byte {
+// Output appends what waits, about most bytes of it where that is above 0: what is not begun can still be taken back.
+func (s *Session) Output(b []byte, most int) []byte {
 	s.ends = s.ends[:0]
 	from := len(b)
-	for len(s.queue) > 0 {
+	for len(s.queue) > 0 && (most <= 0 || len(b)-from < most) {
 		first := s.queue[0]
 		if first.call == nil {
 			b = protocol.AppendGiveUp(b, first.giveUp)
@@ -82,7 +82,9 @@
 		}
 		s.queue = s.queue[len(call):]
 	}
-	s.queue = nil
+	if len(s.queue) == 0 {
+		s.queue = nil
+	}
 	return b
 }
 
--- a/internal/dialect/frames/session_test.go
+++ b/internal/dialect/frames/session_test.go
@@ -54,3 +54,21 @@
 		t.Error("the word that a part is given up is not written")
 	}
 }
+
+// What does not go into one write can still be taken back. Guards against: parts that leave from behind a connection that
+// takes nothing, long after their client has.
+func TestCallsBeyondOneWriteCanBeTakenBack(t *testing.T) {
+	s := New(1, nil)
+	var calls []*dialect.Call
+	for n := range 3 {
+		calls = append(calls, &dialect.Call{Wire: protocol.PartID("q", n), Shard: n, Text: make([]byte, 100)})
+		s.Queue(calls[n])
+	}
+	one := len(s.Output(nil, 90))
+	if s.Wrote(one); s.Withdraw(calls[0]) || !s.Withdraw(calls[1]) {
+		t.Errorf("of a write of %d bytes: stages %v, %v", one, calls[0].Stage, calls[1].Stage)
+	}
+	if rest := s.Output(nil, 90); len(rest) != one {
+		t.Errorf("then %d bytes", len(rest))
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -195,10 +195,16 @@
 		p.takeBack(r)
 	}
 	for _, c := range slices.Clone(r.conns) { // another dialect is another process
-		if c.dialect != d && len(c.out) == 0 {
+		if c.addr != addr { // and another address another machine: who is at the old one now is not known
+			p.unqueue(c, 0, false)
+		}
+		if (c.dialect != d || c.addr != addr) && len(c.out) == 0 {
 			p.close(c)
 		}
 	}
+	if !drains {
+		p.fill(r)
+	}
 }
 
 // Left tells that a replica is gone from the list: what is idle is closed; the rest ends with its legs.
@@ -363,7 +369,7 @@
 	}
 	once := c.single && p.now < p.stale
 	c.idleSince, c.single = p.now, false
-	if c.replica.left || c.doubted || once || c.going || c.dialect != c.replica.dialect {
+	if c.replica.left || c.doubted || once || c.going || c.dialect != c.replica.dialect || c.addr != c.replica.addr {
 		p.close(c)
 		return
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -459,3 +459,26 @@
 		t.Errorf("%d told in the end", len(f.gave))
 	}
 }
+
+// What was not begun for a replica's old address goes to the new one. Guards against: parts that reach whoever has that
+// address now. What was begun there stays, and the connection ends with it.
+func TestLegsFollowAReplicaToItsNewAddress(t *testing.T) {
+	for _, d := range []dialect.Name{dialect.Frames, dialect.HTTP2} {
+		f := newFarm(t, Limits{Multiplex: 8, Conns: 9})
+		f.listed(d)
+		a, old := f.send("q.1", false)
+		b, at := f.send("q.2", false)
+		if at != old {
+			t.Fatalf("%s: on connections %d and %d", d, old, at)
+		}
+		f.written(a)
+		f.p.Listed(f.now, 1, "a:2", d, false)
+		if len(f.open) != 2 || b.conn == nil || b.conn.id == old || a.conn.id != old {
+			t.Fatalf("%s: connections %v, the leg that was not begun is on %+v", d, f.open, b.conn)
+		}
+		f.p.Up(f.now, old)
+		if f.p.Answered(f.now, old, a.ID, "q.1", f.now); !f.shut[old] {
+			t.Errorf("%s: the connection to the old address stays", d)
+		}
+	}
+}
