Send nothing on for clients that have left, and mend what is owed where connections and lists end

Seen by reading; each forced by a test over loopback that fails without its mend (tried, line by line; what it showed is in brackets): - client.serve dispatched a request before it had read to the client's end, and with over 80 KiB ahead waited for the answer without reading: the client's leaving went unseen and its requests went out (30 requests ahead and an end during a standstill: 'left2-9.3 was sent on'). Now what is there is read first, what is beyond 80 KiB is dropped and only its end looked for, and a client that has left is known to the turns at once (client.gone), not only when its word has come through the inbox. - client.roomy answered an open request 'too many large requests' (503 for what may have run).

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -16,15 +16,20 @@
 
 const (
 	mostAhead     = 80 << 10                // bytes that a client may send ahead of an answer: a request and more
+	mostDropped   = 8 << 20                 // bytes beyond those that are looked through for the client's end: what machines buffer
+	dropAtOnce    = 256 << 10               // bytes of them between rests of a millisecond, so that none fills the core
 	plainRequest  = 16 << 10                // bytes; what sends more needs one of the places for large ones
 	requestWithin = 1500 * time.Millisecond // for a request to be whole, from its first byte; the first, from the start
 	idleWithin    = 2000 * time.Millisecond // between requests; from then on a connection may go
 	writeLimit    = 3 * time.Second         // for an answer that a client does not read
 	parting       = 300 * time.Millisecond  // for what a client still sends after its last answer,
 	partingBytes  = 256 << 10               // and so many bytes of it at the most
-	lastLook      = 5 * time.Millisecond    // for a request that crosses the end of its connection
+	lastLook      = 5 * time.Millisecond    // for a request that crosses the end of its connection,
+	crossing      = 50 * time.Millisecond   // and for the rest of one that has begun to come then
 )
 
+const reference = "Idempotency-Key" // the field in which clients of referenced tracks mark what they ask
+
 var longAgo = time.Unix(1, 0)
 
 // client is a client's connection, driven by one goroutine. It reads also while a retrieval is open, to
@@ -34,7 +39,7 @@
 	conn     net.Conn
 	requests protocol.Requests
 	busy     bool      // a request is out that the other goroutine answers
-	ends     bool      // the connection ends with its answer
+	dropped  int       // bytes that came beyond what may come ahead: the connection ends with its answer
 	asked    int       // requests so far
 	since    time.Time // of the start, the last answer, or the first byte of what is a part of a request
 	lookEnds time.Time // of the last look before the connection goes; zero before
@@ -42,6 +47,8 @@
 	large    bool      // has one of the places for large requests
 
 	answers   chan answer
+	ends      atomic.Bool  // the connection ends with its answer
+	gone      atomic.Bool  // the client has left: nothing of what it asked for goes out any more
 	woken     atomic.Bool  // there is more to see to than what the client sends
 	idleSince atomic.Int64 // Unix nanoseconds, 0 while a request is out
 	known     atomic.Bool  // has brought a request
@@ -61,7 +68,7 @@
 }
 
 // last tells whether an answer made now is the connection's last.
-func (k *client) last() bool { return k.ends || k.c.leaving.Load() || k.evicted.Load() }
+func (k *client) last() bool { return k.ends.Load() || k.c.leaving.Load() || k.evicted.Load() }
 
 // answer hands over the answer to the request that is out, from the goroutine that takes the turns.
 func (k *client) answer(bytes []byte) {
@@ -87,11 +94,6 @@
 // serve serves the connection until it ends; the caller closes it.
 func (k *client) serve() {
 	for {
-		if k.busy && k.requests.Waiting() > mostAhead {
-			if !k.give(<-k.answers) {
-				return
-			}
-		}
 		select {
 		case a := <-k.answers:
 			if !k.give(a) {
@@ -99,10 +101,16 @@
 			}
 		default:
 		}
-		if !k.busy && !k.atTheDoor() {
-			return
+		unread := false
+		if !k.busy && k.requests.Waiting() > 0 {
+			if unread = k.readsOn(); k.gone.Load() {
+				return
+			}
 		}
-		if !k.busy {
+		if !k.busy && !unread {
+			if !k.atTheDoor() {
+				return
+			}
 			r, expected, err := k.requests.Next()
 			if err != nil {
 				k.refuse(err)
@@ -126,20 +134,14 @@
 		if k.woken.Swap(false) {
 			continue
 		}
-		had := k.requests.Waiting()
-		n, err := k.conn.Read(k.requests.Room())
-		if k.requests.Filled(n); had == 0 && n > 0 && k.asked > 0 {
-			k.since = time.Now()
-		}
+		n, err := k.read()
 		switch {
 		case err == nil:
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			if k.busy {
-				k.c.post(func() { k.c.clientLeaves(k) })
-			}
+			k.leaves()
 			return
-		case k.busy || time.Now().Before(limit): // woken
-		case k.lookEnds.IsZero():
+		case k.busy || n > 0 || time.Now().Before(limit): // woken
+		case k.lookEnds.IsZero() || look(k.conn) == more:
 			k.lookEnds = time.Now().Add(lastLook)
 		default:
 			if k.requests.Waiting() > 0 {
@@ -150,6 +152,58 @@
 	}
 }
 
+// readsOn tells whether there is more to be read before a request is looked at; it notices a client that has left.
+// Guards against: requests sent on whose clients had left while they waited unread, behind a standstill or a crowd.
+// Should also cover: clients that send much at once and go. Could hurt: by a system call for each request.
+func (k *client) readsOn() bool {
+	switch look(k.conn) {
+	case over:
+		k.leaves()
+	case more:
+		return k.dropped <= mostDropped
+	}
+	return false
+}
+
+// leaves notes that the client has left, and has what it has open ended.
+func (k *client) leaves() {
+	k.gone.Store(true)
+	if k.busy {
+		k.c.post(func() { k.c.clientLeaves(k) })
+	}
+}
+
+// read reads what comes next. What comes beyond what a client may send ahead of its answer is dropped, as only its end is
+// of interest; nothing behind it is taken for a request.
+func (k *client) read() (n int, err error) {
+	if k.dropped == 0 && k.requests.Waiting() <= mostAhead && (k.large || k.requests.Waiting() < plainRequest) {
+		had := k.requests.Waiting()
+		n, err = k.conn.Read(k.requests.Room())
+		k.requests.Filled(n)
+		if had > 0 || n == 0 {
+			return n, err
+		}
+		if k.asked > 0 {
+			k.since = time.Now()
+		}
+		switch late := k.evicted.Load() || k.c.leaving.Load(); {
+		case k.lookEnds.IsZero():
+		case late:
+			k.lookEnds = time.Now().Add(crossing)
+		default:
+			k.lookEnds = time.Time{}
+		}
+		return n, err
+	}
+	k.ends.Store(true)
+	rest := make([]byte, 16<<10)
+	if n, err = k.conn.Read(rest); n > 0 && (k.dropped+n)/dropAtOnce > k.dropped/dropAtOnce {
+		time.Sleep(time.Millisecond)
+	}
+	k.dropped += n
+	return n, err
+}
+
 // limit is until when the client may be silent, or its request in pieces; zero while it waits for an answer.
 // Guards against: crowds that connect and say nothing, heads without end, half requests, connections that are
 // kept for good. Should also cover: clients that vanished. Could hurt: requests that take longer than that to come.
@@ -165,8 +219,11 @@
 	switch {
 	case k.evicted.Load() || k.c.leaving.Load() && !partly:
 		return longAgo
-	case k.c.leaving.Load():
-		limit = k.since.Add(goingOn)
+	case k.c.leaving.Load(): // later ones might not be answered before the end
+		limit = time.Unix(0, k.c.leftAt.Load()).Add(goingOn)
+		if least := k.since.Add(crossing); limit.Before(least) {
+			limit = least
+		}
 	case !partly:
 		limit = k.since.Add(idleWithin)
 	}
@@ -177,14 +234,14 @@
 // Guards against: many that send their largest at once, where memory is scarce. Could hurt: usual clients whose
 // requests are as large; they are told that trying again is harmless.
 func (k *client) roomy() bool {
-	if k.large || k.requests.Waiting() < plainRequest {
+	if k.large || k.requests.Waiting() < plainRequest || k.dropped > 0 {
 		return true
 	}
-	if k.large = k.c.front.enlarge(); !k.large {
+	if k.large = k.c.front.enlarge(); !k.large && !k.busy { // while a request is open, read drops what is too much
 		k.c.post(func() { k.c.counts.Bad++ })
 		k.give(answer{protocol.TurnBackWith(0, "too many large requests", true), true})
 	}
-	return k.large
+	return k.large || k.busy
 }
 
 // refuse answers what is no request and ends the connection: where the next one begins is in doubt.
@@ -221,6 +278,10 @@
 	if !k.letIn && !k.c.lets() {
 		return k.give(answer{protocol.TurnBackWith(0, "busy", k.last()), k.last()})
 	}
+	if k.c.marked[track] && r.Header.Get(reference) != "" { // no frame has a place for it, and without it a repeat runs
+		k.c.post(func() { k.c.counts.Bad++ })
+		return k.give(answer{refusal(http.StatusNotImplemented, "a reference cannot be passed on to replicas", k.last()), k.last()})
+	}
 	query, err := protocol.ReadQuery(r, k.c.longest, k.c.questions.takes)
 	if err != nil {
 		return k.refuse(err)
@@ -231,7 +292,7 @@
 // begins notes that a request has come.
 func (k *client) begins(last bool) {
 	k.asked++
-	k.ends = last
+	k.ends.Store(last || k.dropped > 0)
 	k.idleSince.Store(0)
 	if k.asked == 1 {
 		k.c.front.meet(k)
@@ -280,10 +341,11 @@
 		k.large = false
 		k.c.front.lessen()
 	}
-	if a.last {
+	last := a.last || k.dropped > 0
+	if last {
 		k.part()
 	}
-	return !a.last
+	return !last
 }
 
 func (k *client) write(bytes []byte) bool {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -38,6 +38,7 @@
 	shards  int
 	longest map[string]time.Duration // by track: what a client may say that it waits
 	single  map[string]bool          // tracks whose parts may not run twice
+	marked  map[string]bool          // tracks whose clients may send a reference that reveals a repeat
 	agreed  map[string]time.Duration // times, by track
 	maxOpen int
 	counts  Counts
@@ -58,9 +59,10 @@
 	fleet     fleet
 	list      list
 	front     front
-	ready     atomic.Bool // retrievals can be served; read by all
-	leaving   atomic.Bool // told to end; read by all
-	gone      bool        // and no client can come any more
+	ready     atomic.Bool  // retrievals can be served; read by all
+	leaving   atomic.Bool  // told to end; read by all
+	leftAt    atomic.Int64 // when, in Unix nanoseconds; set before
+	gone      bool         // and no client can come any more
 	drivers   sync.WaitGroup
 
 	busyAt      time.Duration      // the last line about it
@@ -77,6 +79,7 @@
 		tracks:     map[string]decide.TrackIndex{},
 		longest:    map[string]time.Duration{},
 		single:     map[string]bool{},
+		marked:     map[string]bool{},
 		agreed:     map[string]time.Duration{},
 		zones:      map[string]decide.ZoneIndex{},
 		retrievals: map[decide.RequestID]*retrieval{},
@@ -96,7 +99,8 @@
 		if c.agreed[name], err = d.span(fmt.Sprintf("lanes.%d.aim", n), cutOff); err != nil {
 			return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
 		}
-		c.single[name] = d.settings[fmt.Sprintf("lanes.%d.effect", n)] == "side_effect"
+		effect := d.settings[fmt.Sprintf("lanes.%d.effect", n)]
+		c.single[name], c.marked[name] = effect == "side_effect", effect == "token"
 		if fetch := d.nth("familyInfo.classFetch", n); fetch != "" && fetch != "0" {
 			return nil, fmt.Errorf("ROUTER_CONFIG: setting familyInfo.classFetch: the protocol has no second step")
 		}
@@ -211,17 +215,22 @@
 		}
 		c.Scrap(q.id)
 	}
+	told := c.next
 	c.next = nil
-	clear(c.parts)
 	if err := c.begin(); err != nil {
 		c.log.Printf("event=broken cause=%q", err)
 	}
+	for _, do := range told { // the new module knows none of them; what holds their places lets go
+		do()
+	}
+	clear(c.parts)
 	c.list.retell()
 }
 
 // leave begins the end: clients are asked to go elsewhere, and those that still come are served.
 func (c *Coordinator) leave() {
 	c.log.Printf("event=leaving %s", c.countersLine())
+	c.leftAt.Store(time.Now().UnixNano())
 	c.leaving.Store(true)
 	c.front.leave(func() { c.post(func() { c.gone = true }) })
 }
--- /dev/null
+++ b/coordinator/crossings_test.go
@@ -0,0 +1,374 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"terntray/internal/dialect"
+	"terntray/internal/protocol"
+	"terntray/internal/standin"
+)
+
+// pair is a connection over loopback, the near end first.
+func pair(t *testing.T) (near, far *net.TCPConn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close(); other.Close() })
+	conn.SetDeadline(time.Now().Add(20 * time.Second))
+	return other.(*net.TCPConn), conn.(*net.TCPConn)
+}
+
+// sees waits until a connection's end shows something.
+func sees(t *testing.T, conn net.Conn, what sight) {
+	for end := time.Now().Add(20 * time.Second); look(conn) != what; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("nothing comes")
+		}
+	}
+}
+
+// fronted makes a coordinator with clients' places, whose turns the test takes.
+func fronted(t *testing.T) *Coordinator {
+	cell := 0
+	c := made(t, protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell})
+	t.Cleanup(c.fleet.stop)
+	c.list.c, c.list.held = c, c.deployment.Known
+	c.list.retell()
+	c.front.slots, c.front.large, c.front.clients = make(chan struct{}, 100), make(chan struct{}, 1), map[*client]struct{}{}
+	c.front.usual = 100
+	return c
+}
+
+func asking(id string) string {
+	body := `{"segments":[{"segment":0,"boost":1}],"text":"x"}`
+	return fmt.Sprintf("POST /look HTTP/1.1\r\nHost: b\r\nReq-Id: %s\r\nReq-Deadline: 2\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// turnWith takes a turn with all that waits; nothing else is under way.
+func (c *Coordinator) turnWith() { c.turn(func() {}, c.endTurn) }
+
+// What waited unread for a client that has left meanwhile is not taken in, however much stands before the client's end.
+// Guards against: a crowd or a standstill behind which requests go out for nobody.
+func TestRequestWhoseClientHasLeftUnreadIsNotTakenIn(t *testing.T) {
+	for name, text := range map[string]string{
+		"alone":              asking("q"),
+		"with half of more":  asking("q") + asking("r")[:40],
+		"with more ahead":    strings.Repeat(asking("q"), 9),
+		"with far more":      strings.Repeat(asking("q"), 900),
+		"with a body beyond": asking("q") + "POST /look HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + strings.Repeat("x", 200_000),
+	} {
+		for _, reset := range []bool{false, true} {
+			c := fronted(t)
+			near, far := pair(t)
+			io.WriteString(far, text) // what the machines buffer
+			if reset {
+				far.SetLinger(0)
+			}
+			far.Close()
+			k := newClient(c, near)
+			c.front.slots <- struct{}{}
+			c.front.clients[k] = struct{}{}
+			k.serveSafely()
+			c.front.release(k)
+			c.turnWith()
+			if c.counts.Legs+c.counts.Taken > 0 || len(c.retrievals) > 0 {
+				t.Errorf("%s, reset %t: counts %+v", name, reset, c.counts)
+			}
+		}
+	}
+}
+
+// A client's leaving is known to the turns before its word has come through the inbox: nothing of it is sent.
+// Guards against: a word that waits behind a full inbox while the retrieval goes on.
+func TestNothingGoesOutForAClientWhoseLeavingStillWaits(t *testing.T) {
+	c := fronted(t)
+	k := c.client(t)
+	query := func(id string) *protocol.Query {
+		return &protocol.Query{ID: id, Track: "look", Deadline: time.Second, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
+	}
+	c.turn(func() { k.gone.Store(true); c.arrives(k, query("q"), c.now) }, c.endTurn)
+	if c.counts.Legs > 0 || c.counts.Left != 1 {
+		t.Errorf("not begun: counts %+v", c.counts)
+	}
+	d := c.client(t)
+	c.turn(func() { c.arrives(d, query("r"), c.now); d.gone.Store(true) }, c.endTurn)
+	c.turnWith()
+	if len(c.fleet.links) > 0 {
+		t.Errorf("taken in, then left: %d connections for its parts", len(c.fleet.links))
+	}
+}
+
+// A client that sends on and on while its request is open loses what comes beyond, and neither that request's answer nor
+// its truth. Guards against: an answer that says that nothing ran, given for want of a place to what may have run.
+func TestOpenRequestIsNotTurnedBackForWhatComesBehindIt(t *testing.T) {
+	for _, ahead := range []int{plainRequest + 2000, mostAhead + 5000, 600_000} {
+		c := fronted(t)
+		c.front.enlarge() // the only place is taken
+		near, far := pair(t)
+		k := newClient(c, near)
+		c.front.slots <- struct{}{}
+		served := make(chan struct{})
+		go func() {
+			k.serveSafely()
+			c.front.release(k)
+			close(served)
+		}()
+		io.WriteString(far, asking("q"))
+		(<-c.inbox)()
+		q := c.byQuery["q"]
+		if q == nil {
+			t.Fatal("it is not taken in")
+		}
+		sent := make(chan struct{})
+		go func() {
+			io.WriteString(far, strings.Repeat("x", ahead))
+			close(sent)
+		}()
+		<-sent
+		for end := time.Now().Add(20 * time.Second); look(near) == more && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		if len(k.answers) > 0 || c.retrievals[q.id] == nil {
+			t.Fatalf("%d bytes behind it: it is answered", ahead)
+		}
+		c.Answer(q.id, true)
+		got := make([]byte, 12)
+		if _, err := io.ReadFull(far, got); err != nil || string(got) != "HTTP/1.1 200" {
+			t.Errorf("%d bytes behind it: %q, %v", ahead, got, err)
+		}
+		far.Close()
+		<-served
+	}
+}
+
+// A request that comes during the last look at its connection is served, also if this process stood still over the whole
+// of it, and also if its rest comes a little later.
+func TestRequestThatCrossesTheEndOfItsConnectionIsServed(t *testing.T) {
+	up := "GET /up HTTP/1.1\r\nHost: b\r\n\r\n"
+	for name, crosses := range map[string]func(k *client, far net.Conn){
+		"a standstill": func(k *client, far net.Conn) {
+			k.lookEnds = time.Now().Add(-time.Second)
+			io.WriteString(far, up)
+			sees(t, k.conn, more)
+		},
+		"in two pieces": func(k *client, far net.Conn) {
+			k.lookEnds = time.Now().Add(lastLook)
+			io.WriteString(far, up[:9])
+			sees(t, k.conn, more)
+			time.AfterFunc(3*lastLook, func() { io.WriteString(far, up[9:]) })
+		},
+	} {
+		c := fronted(t)
+		c.ready.Store(true)
+		near, far := pair(t)
+		k := newClient(c, near)
+		k.evicted.Store(true)
+		crosses(k, far)
+		go func() {
+			k.serveSafely()
+			near.Close()
+		}()
+		got := make([]byte, 12)
+		if _, err := io.ReadFull(far, got); err != nil || string(got) != "HTTP/1.1 200" {
+			t.Errorf("%s: %q, %v", name, got, err)
+		}
+	}
+}
+
+// A connection that the machine took before the listener's end is served, also if this process stood still until then.
+func TestConnectionTakenBeforeTheListenersEndIsServed(t *testing.T) {
+	c := fronted(t)
+	c.ready.Store(true)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	far.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(far, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(-time.Second))
+	c.front.listener = l
+	go c.front.accept(c)
+	got := make([]byte, 12)
+	if _, err := io.ReadFull(far, got); err != nil || string(got) != "HTTP/1.1 200" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+// Told to end, it takes no request that comes later than it may still be answered.
+func TestRequestsInPiecesEndWithTheTimeToCome(t *testing.T) {
+	c := fronted(t)
+	near, _ := pair(t)
+	k := newClient(c, near)
+	c.leftAt.Store(time.Now().Add(-goingOn).UnixNano())
+	c.leaving.Store(true)
+	if left := time.Until(k.limit()); left > crossing {
+		t.Errorf("a new connection may bring a request for %v", left)
+	}
+	c.leftAt.Store(time.Now().UnixNano())
+	if left := time.Until(k.limit()); left < goingOn/2 {
+		t.Errorf("right after the word to end it has only %v", left)
+	}
+}
+
+// The next call of discovery goes out while what the last one told waits for its turn. Guards against: a full inbox that
+// lets a watch lapse.
+func TestWatchGoesOnWhileItsListWaitsForItsTurn(t *testing.T) {
+	a, err := standin.NewAgent()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Listener.Close()
+	c := fronted(t)
+	ctx, stop := context.WithCancel(context.Background())
+	waits, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		c.list.calls(ctx, a.Listener.Addr().String(), func(*protocol.Listing) { <-waits })
+		close(ended)
+	}()
+	(<-a.Calls).Tell(`{"rev":5,"all":true,"targets":[]}`)
+	select {
+	case next := <-a.Calls:
+		if !strings.Contains(next.Path, "from=5") {
+			t.Errorf("the next call is %s", next.Path)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no next call comes before the list has had its turn")
+	}
+	close(waits)
+	stop()
+	<-ended
+}
+
+// An agent that swallows a call, as while discovery is down, is asked again before what it tells at its return is late.
+// Guards against: a drain that counts as told while a call hangs. 0.6 s is some more than an agent is waited for.
+func TestCallThatHangsIsMadeAgainSoon(t *testing.T) {
+	a, err := standin.NewAgent()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Listener.Close()
+	c := fronted(t)
+	for _, wait := range []time.Duration{0, 100 * time.Millisecond} { // the whole list; a watch
+		c.list.hold = wait
+		ended := make(chan error)
+		go func() {
+			ended <- c.list.calls(context.Background(), a.Listener.Addr().String(), func(*protocol.Listing) {})
+		}()
+		call := <-a.Calls
+		if wait > 0 {
+			call.Tell(`{"rev":5,"all":true,"targets":[]}`)
+			<-a.Calls
+		}
+		began := time.Now()
+		if <-ended; time.Since(began) > wait+1200*time.Millisecond {
+			t.Errorf("a call that may wait %v is given up after %v", wait, time.Since(began))
+		}
+	}
+}
+
+// A new process serves nobody by its old list as long as a newer one may be had at once.
+func TestReadyOnlyOnceTheListIsKnownAnew(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		a, err := standin.NewAgent()
+		if err != nil {
+			t.Fatal(err)
+		}
+		cell := 0
+		d := deployment(t, protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell})
+		d.Discovery = a.Listener.Addr().String()
+		c, err := New(d, log.New(io.Discard, "", 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan error)
+		go func() { ended <- c.Serve(ctx) }()
+		call := <-a.Calls
+		if c.ready.Load() {
+			t.Error("it is ready with the list of its last life")
+		}
+		if told {
+			call.Tell(`{"rev":5,"all":true,"targets":[{"uid":"s-a","endpoint":"127.0.0.1:1","az":"west","pod_group":0,"state":"draining"}]}`)
+		} else { // discovery is down: the old one is all there is
+			call.Conn.Close()
+		}
+		for end := time.Now().Add(20 * time.Second); !c.ready.Load(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("told %t: it is never ready", told)
+			}
+		}
+		stop()
+		<-ended
+		a.Listener.Close()
+	}
+}
+
+// After a panic in a turn the legs that were out hold no places.
+func TestLegsOfABrokenModuleHoldNoPlaces(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	cell := 0
+	c := made(t, protocol.Target{UID: "s-a", Endpoint: l.Addr().String(), State: protocol.Ready, Cell: &cell})
+	defer c.fleet.stop()
+	k := c.client(t)
+	query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
+	c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
+	c.turn(<-c.inbox, c.endTurn) // the connection is up
+	if len(c.fleet.legs) != 1 {
+		t.Fatalf("%d legs are out", len(c.fleet.legs))
+	}
+	c.broken("as if")
+	if c.turnWith(); len(c.fleet.legs)+len(c.parts)+len(c.retrievals) > 0 {
+		t.Errorf("%d legs, %d parts, %d retrievals are left", len(c.fleet.legs), len(c.parts), len(c.retrievals))
+	}
+}
+
+// A write that the far side does not take ends with its connection before a client of it can be gone for 0.3 s, however
+// long connections may take to come up. What was not begun by then can be taken back.
+func TestWriteThatIsNotTakenEndsSoon(t *testing.T) {
+	c := fronted(t)
+	c.fleet.connectWithin = 10 * time.Second
+	near, far := pair(t)
+	near.SetWriteBuffer(4 << 10)
+	far.SetReadBuffer(4 << 10)
+	k := newLink(c, 1, c.fleet.named("s-a"), "127.0.0.1:1", dialect.Frames)
+	var calls []*dialect.Call
+	for n := range 60 {
+		calls = append(calls, &dialect.Call{Leg: uint64(n + 1), Group: uint64(n + 1), Wire: protocol.PartID("q", n), Text: make([]byte, 60_000)})
+		k.session.Queue(calls[n])
+	}
+	began := time.Now()
+	k.write(near, near)
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("it is written to for %v", took)
+	}
+	last := calls[len(calls)-1]
+	if last.Stage != dialect.Waiting || !k.session.Withdraw(last) {
+		t.Errorf("the last of what waits is at stage %v", last.Stage)
+	}
+}
--- a/coordinator/front.go
+++ b/coordinator/front.go
@@ -66,7 +66,7 @@
 // cover: descriptors that run out. Could hurt: clients that come back to a closed connection.
 func (f *front) accept(c *Coordinator) {
 	defer f.listener.Close()
-	for {
+	for swept := false; ; {
 		for len(f.slots)-f.evicting() >= cap(f.slots)-cap(f.slots)/freeShare-1 && f.evict() {
 		}
 		f.slots <- struct{}{}
@@ -83,6 +83,11 @@
 				k.serveSafely()
 			})
 			continue
+		case errors.Is(err, os.ErrDeadlineExceeded) && !swept: // without a look, if this process stood still until then
+			swept = true
+			f.closeSoon(sweepUp)
+			<-f.slots
+			continue
 		case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed):
 			<-f.slots
 			return
@@ -186,14 +191,19 @@
 	}
 	f.mu.Unlock()
 	time.AfterFunc(goingOn, func() {
-		if l, ok := f.listener.(*net.TCPListener); ok {
-			l.SetDeadline(time.Now().Add(sweepUp))
-		}
+		f.closeSoon(0)
 		f.running.Wait()
 		done()
 	})
 }
 
+// closeSoon has the listener end after a time.
+func (f *front) closeSoon(in time.Duration) {
+	if l, ok := f.listener.(*net.TCPListener); ok {
+		l.SetDeadline(time.Now().Add(in))
+	}
+}
+
 // stopWith closes a connection when a context ends; what it returns calls that off.
 func stopWith(ctx context.Context, conn net.Conn) func() bool {
 	return context.AfterFunc(ctx, func() { conn.Close() })
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"terntray/internal/dialect"
@@ -19,6 +18,7 @@
 	goodbye     = 50 * time.Millisecond  // for the last word on a connection
 	frameWithin = 100 * time.Millisecond // for a message that has begun to come; each is sent in one go
 	mostOutput  = 64 << 10               // bytes of a write, about: more would keep later words from going first
+	takenWithin = 250 * time.Millisecond // for a write at the most: a part goes no later than 0.3 s after its client
 )
 
 // link drives one connection to a replica: a goroutine that reads, one that writes. What it carries is decided in
@@ -214,7 +214,7 @@
 		gone := hasEnded(raw)
 		n, err := 0, error(nil)
 		if !gone {
-			conn.SetWriteDeadline(time.Now().Add(k.c.fleet.connectWithin))
+			conn.SetWriteDeadline(time.Now().Add(min(k.c.fleet.connectWithin, takenWithin)))
 			n, err = conn.Write(bytes)
 		}
 		k.mu.Lock()
@@ -229,23 +229,3 @@
 		}
 	}
 }
-
-// hasEnded tells whether the far side has closed a connection, which its reader may not have been able to tell yet.
-// Guards against: frames written after that, which may then have run as far as anybody knows.
-func hasEnded(conn net.Conn) bool {
-	c, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	ended := false
-	raw.Control(func(fd uintptr) {
-		one := make([]byte, 1)
-		n, _, err := syscall.Recvfrom(int(fd), one, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ended = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return ended
-}
--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -12,7 +12,8 @@
 
 const (
 	hold      = 5 * time.Second        // a watch may wait so long, where the settings do not imply it
-	answersIn = 2 * time.Second        // how much later than that its answer counts as lost
+	answersIn = 2 * time.Second        // how much later than that its answer counts as lost,
+	agentsIn  = 500 * time.Millisecond // and where an agent on this machine tells what changes, which answers at once
 	askAgain  = 200 * time.Millisecond // between beginnings of a watch where changes come unasked
 )
 
@@ -129,6 +130,9 @@
 // in a row, and not while the list is moving: the new address has yet to tell it.
 func (l *list) broke(host string, cause error) {
 	l.c.counts.ListFailures++
+	if len(l.held.Targets) > 0 { // an old list is better than none
+		l.c.ready.Store(true)
+	}
 	told := l.stopMove == nil && (l.asked || !l.failing)
 	if told || !l.failing {
 		l.c.log.Printf("event=list_failed at=%s cause=%q", host, cause)
@@ -149,11 +153,19 @@
 		}
 	}
 	defer func() { release() }()
-	request, wait, rev := protocol.WholeList(host), time.Duration(0), int64(0)
+	request, wait, rev, within := protocol.WholeList(host), time.Duration(0), int64(0), answersIn
+	if !l.asked {
+		within = agentsIn
+	}
+	var told *protocol.Listing
 	for {
 		if conn == nil {
+			if told != nil {
+				tell(told)
+				told = nil
+			}
 			var err error
-			dialer := net.Dialer{Timeout: answersIn}
+			dialer := net.Dialer{Timeout: within}
 			if conn, err = dialer.DialContext(ctx, "tcp", host); err != nil {
 				return err
 			}
@@ -164,14 +176,19 @@
 				now.Close()
 			}
 		}
-		conn.SetDeadline(time.Now().Add(wait + answersIn))
-		if _, err := conn.Write(request); err != nil {
-			return err
+		conn.SetDeadline(time.Now().Add(wait + within))
+		_, err := conn.Write(request)
+		if told != nil { // the next call goes first, as a full inbox may hold this up
+			tell(told)
+			told = nil
 		}
-		told, last, err := nextListing(conn, &answers)
 		if err != nil {
 			return err
 		}
+		var last bool
+		if told, last, err = nextListing(conn, &answers); err != nil {
+			return err
+		}
 		if last {
 			release()
 			conn, release = nil, func() {}
@@ -180,7 +197,6 @@
 			return fmt.Errorf("changes of revision %d after %d", told.Rev, rev)
 		}
 		rev = told.Rev
-		tell(told)
 		request, wait = protocol.Watch(host, rev, l.hold.Milliseconds()), l.hold
 	}
 }
@@ -224,7 +240,7 @@
 	for _, t := range told.Targets {
 		l.tellOf(t)
 	}
-	if len(l.held.Targets) > 0 {
+	if !old && len(l.held.Targets) > 0 {
 		c.ready.Store(true)
 	}
 	if !old && len(told.Targets) > 0 {
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -57,6 +57,9 @@
 func (c *Coordinator) arrives(from *client, query *protocol.Query, at time.Duration) {
 	c.gate.Waited(c.now, c.now-at)
 	switch {
+	case from.gone.Load(): // while it waited; what tells that comes behind
+		c.counts.Taken++
+		c.counts.Left++
 	case c.byQuery[query.ID] != nil:
 		c.bad(from, http.StatusConflict, "a retrieval with this Req-Id is open")
 	case c.unknownShard(query) >= 0:
@@ -75,7 +78,7 @@
 // bad answers what is no retrieval and ends its client's connection.
 func (c *Coordinator) bad(from *client, status int, words string) {
 	c.counts.Bad++
-	from.ends = true
+	from.ends.Store(true)
 	from.answer(refusal(status, words, true))
 }
 
@@ -279,7 +282,7 @@
 	p.legs = append(p.legs, l)
 	c.counts.Legs++
 	switch {
-	case p.over() || wait <= 0:
+	case p.over() || wait <= 0 || p.of.client.gone.Load():
 		c.tell(l, decide.Moot)
 	case !c.fleet.send(l):
 		c.tell(l, decide.Unreachable)
--- /dev/null
+++ b/internal/standin/agent.go
@@ -0,0 +1,59 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+)
+
+// Agent stands in for discovery where a test chooses the instant of each answer, and whether there is one.
+type Agent struct {
+	Listener net.Listener
+	Calls    chan AgentCall // as they come, up to a hundred; the rest stay without an answer
+}
+
+// AgentCall is one call that waits for its answer.
+type AgentCall struct {
+	Path string // with its query
+	Conn net.Conn
+}
+
+// NewAgent starts one on a port of its own.
+func NewAgent() (*Agent, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{l, make(chan AgentCall, 100)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go a.serve(conn)
+		}
+	}()
+	return a, nil
+}
+
+func (a *Agent) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		select {
+		case a.Calls <- AgentCall{r.URL.RequestURI(), conn}:
+		default:
+		}
+	}
+}
+
+// Tell answers a call with a list, as Listing writes it.
+func (c AgentCall) Tell(list string) {
+	fmt.Fprintf(c.Conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+}
