--- a/cmd/terntray/crossings_test.go
+++ b/cmd/terntray/crossings_test.go
@@ -222,3 +222,22 @@
 		t.Error("its part was sent without the reference")
 	}
 }
+
+// A sound request is served whatever it is cut into: in chunks of a byte it takes far more than its body.
+func TestRequestInVerySmallChunksIsServed(t *testing.T) {
+	a := newStandin(t, "s-a", 0, fulfil)
+	p, _ := deployed(t, settings, a)
+	body := fmt.Sprintf(`{"segments":[{"segment":3,"boost":1}],"text":%q}`, strings.Repeat("t", 20_000))
+	var chunks strings.Builder
+	for _, b := range []byte(body) {
+		fmt.Fprintf(&chunks, "1\r\n%c\r\n", b)
+	}
+	for n := range 3 {
+		c := p.connect()
+		text := fmt.Sprintf("POST /look HTTP/1.1\r\nHost: b\r\nReq-Id: q%d\r\nReq-Deadline: 9\r\nTransfer-Encoding: chunked\r\n\r\n%s0\r\n\r\n", n, chunks.String())
+		c.send(text[:100_000])
+		time.Sleep(20 * time.Millisecond) // that it is read in two goes; it is served either way
+		c.send(text[100_000:])
+		c.expect(map[int]string{3: value(a, 3)})
+	}
+}
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -16,6 +16,7 @@
 
 const (
 	mostAhead     = 80 << 10                // bytes that a client may send ahead of an answer: a request and more
+	mostWhole     = 2 * mostAhead           // bytes of one request at the most, where it comes in many small chunks
 	mostDropped   = 8 << 20                 // bytes beyond those that are looked through for the client's end: what machines buffer
 	dropAtOnce    = 256 << 10               // bytes of them between rests of a millisecond, so that none fills the core
 	plainRequest  = 16 << 10                // bytes; what sends more needs one of the places for large ones
@@ -176,7 +177,11 @@
 // read reads what comes next. What comes beyond what a client may send ahead of its answer is dropped, as only its end is
 // of interest; nothing behind it is taken for a request.
 func (k *client) read() (n int, err error) {
-	if k.dropped == 0 && k.requests.Waiting() <= mostAhead && (k.large || k.requests.Waiting() < plainRequest) {
+	most := mostWhole
+	if k.busy {
+		most = mostAhead
+	}
+	if k.dropped == 0 && k.requests.Waiting() <= most && (k.large || k.requests.Waiting() < plainRequest) {
 		had := k.requests.Waiting()
 		n, err = k.conn.Read(k.requests.Room())
 		k.requests.Filled(n)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -89,6 +89,9 @@
 		stopReading: func() {}, seldomLeft: seldomLines, busyAt: -busyLines,
 	}
 	c.share.Store(math.Float64bits(c.gate.Share()))
+	if err := d.absurd(); err != nil {
+		return nil, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
 	for n, name := range d.names("lanes") {
 		c.tracks[name] = decide.TrackIndex(n)
 		cutOff, err := d.span(fmt.Sprintf("lanes.%d.deadline", n), 0)
@@ -116,7 +119,7 @@
 	bad = errors.Join(bad, err)
 	c.maxOpen, err = d.whole("bounds.maxOpen", math.MaxInt32)
 	bad = errors.Join(bad, err)
-	if bad = errors.Join(bad, err, c.fleet.begin(c, d), c.questions.begin(d, c.tracks)); bad != nil {
+	if bad = errors.Join(bad, c.fleet.begin(c, d), c.questions.begin(d, c.tracks)); bad != nil {
 		return nil, fmt.Errorf("ROUTER_CONFIG: %w", bad)
 	}
 	return c, c.begin()
--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// The same for a client whose end lies unread while its request waits for its turn.
+func TestRequestThatWaitedForItsTurnIsNotSentOnForAClientThatHasLeft(t *testing.T) {
+	for _, waited := range []time.Duration{0, time.Second} {
+		c := fronted(t)
+		near, far := pair(t)
+		k := newClient(c, near)
+		if far.Close(); waited > 0 {
+			sees(t, near, over)
+		}
+		query := &protocol.Query{ID: "q", Track: "look", Deadline: 5 * time.Second, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
+		c.born = c.born.Add(-10 * time.Second)
+		c.turn(func() { c.arrives(k, query, c.now-waited) }, c.endTurn)
+		if c.counts.Left == 0 && waited > 0 || c.counts.Legs > 0 && waited > 0 {
+			t.Errorf("it waited for %v: counts %+v", waited, c.counts)
+		}
+	}
+}
+
 // A client that sends on and on while its request is open loses what comes beyond, and neither that request's answer nor
 // its truth. Guards against: an answer that says that nothing ran, given for want of a place to what may have run.
 func TestOpenRequestIsNotTurnedBackForWhatComesBehindIt(t *testing.T) {
@@ -372,3 +390,58 @@
 		t.Errorf("the last of what waits is at stage %v", last.Stage)
 	}
 }
+
+// with makes a coordinator of settings of which one is replaced.
+func with(t *testing.T, old, new string) error {
+	text := strings.Replace(nested, old, new, 1)
+	if text == nested && old != new {
+		t.Fatalf("%s is not there", old)
+	}
+	settings, err := Flatten([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := deployment(t)
+	d.settings = settings
+	c, err := New(d, log.New(io.Discard, "", 0))
+	if err == nil {
+		c.fleet.stop()
+	}
+	return err
+}
+
+// A setting with which nothing could be served is named in one line, instead of a start that serves nothing or breaks.
+func TestAbsurdSettingsAreNamedInOneLine(t *testing.T) {
+	for _, c := range [][3]string{
+		{`"connectTimeout":250000`, `"connectTimeout":0`, "bounds.connectTimeout"},
+		{`"connectTimeout":250000`, `"connectTimeout":"soon"`, "bounds.connectTimeout"},
+		{`"connectTimeout":250000`, `"connectTimeout":1,"maxOpen":0`, "bounds.maxOpen"},
+		{`"connectTimeout":250000`, `"connectTimeout":1,"maxOpen":-5`, "bounds.maxOpen"},
+		{`"connectTimeout":250000`, `"connectTimeout":1,"multiplex":0`, "bounds.multiplex"},
+		{`"connectTimeout":250000`, `"connectTimeout":1,"maxAttempts":0`, "bounds.maxAttempts"},
+		{`"discovery"`, `"guarantees":{"askEvery":-1},"discovery"`, "guarantees.askEvery"},
+		{`"cells":2`, `"cells":-1`, "familyInfo.cells"},
+		{`"cells":2`, `"cells":1e12`, "familyInfo.cells"},
+		{`"span":1`, `"span":-2`, "familyInfo.span"},
+		{`"name":"claim"`, `"name":"look"`, "lanes.1.name"},
+		{`"name":"claim"`, `"name":""`, "lanes.1.name"},
+		{`"name":"claim"`, `"name":"a/b"`, "lanes.1.name"},
+		{`"deadline":3000000`, `"deadline":0`, "lanes.1.deadline"},
+		{`"effect":"side_effect"`, `"effect":"magic"`, "lanes.1.effect"},
+	} {
+		if err := with(t, c[0], c[1]); err == nil || !strings.Contains(err.Error(), c[2]) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", c[1], err)
+		}
+	}
+	for _, c := range [][2]string{ // other customers
+		{`"deadline":3000000`, `"deadline":300000`}, {`"aim":1500000`, `"aim":100000`}, {`"automatic"`, `"subscribe"`},
+		{`"connectTimeout":250000,`, ``}, {`"effect":"side_effect"`, `"effect":"token","window":400000`},
+		{`"zones":["west","east"]`, `"zones":["a","b","c","d","e"]`}, {`"name":"claim"`, `"name":"lao-broneering"`},
+		{`"cells":2`, `"cells":200`}, {`"discovery"`, `"guarantees":{"stopSendingWithin":50000},"discovery"`},
+		{`"connectTimeout":250000`, `"connectTimeout":20000,"maxAttempts":1,"secondCopies":false,"multiplex":1,"idleClose":500000`},
+	} {
+		if err := with(t, c[0], c[1]); err != nil {
+			t.Errorf("%s does not start: %v", c[1], err)
+		}
+	}
+}
--- a/coordinator/deployment.go
+++ b/coordinator/deployment.go
@@ -179,6 +179,34 @@
 	return time.Duration(n) * time.Microsecond, err
 }
 
+// aboveZero are settings that, where they are stated, mean nothing at 0 or below; most is the largest that can be meant.
+var aboveZero = []struct {
+	name string
+	most float64
+}{
+	{"familyInfo.cells", 1e6}, {"familyInfo.span", 1e6}, {"familyInfo.ranges", 1e9}, {"bounds.connectTimeout", 1e15},
+	{"bounds.maxOpen", 1e15}, {"bounds.multiplex", 1e15}, {"bounds.maxAttempts", 1e15}, {"guarantees.askEvery", 1e15},
+}
+
+// absurd names a setting with which nothing could be served although each figure can be read. Guards against: a start that
+// turns everything back, calls nobody or breaks. Could hurt: a deployment that means something by such a figure.
+func (d *Deployment) absurd() error {
+	for _, s := range aboveZero {
+		v := d.settings[s.name]
+		if n, err := strconv.ParseFloat(v, 64); v != "" && v != "-" && (err != nil || !(n > 0 && n <= s.most)) {
+			return fmt.Errorf("setting %s is unreadable or out of range: %q", s.name, v)
+		}
+	}
+	seen := map[string]bool{}
+	for n, name := range d.names("lanes") {
+		if name == "" || strings.ContainsAny(name, "/? ") || seen[name] {
+			return fmt.Errorf("setting lanes.%d.name is missing, stands twice or is no part of a path: %q", n, name)
+		}
+		seen[name] = true
+	}
+	return nil
+}
+
 // nth is an entry of a list of plain values, empty where there is none.
 func (d *Deployment) nth(list string, n int) string {
 	values := strings.Split(d.settings[list], ",")
--- a/coordinator/front.go
+++ b/coordinator/front.go
@@ -50,7 +50,7 @@
 	f.listener, f.slots, f.clients = listener, make(chan struct{}, most), map[*client]struct{}{}
 	places := most
 	if limits.MemoryMB > 0 {
-		places = max(1, min(most, limits.MemoryMB<<20/largeShare/(2*mostAhead)))
+		places = max(1, min(most, limits.MemoryMB<<20/largeShare/mostWhole))
 	}
 	f.large = make(chan struct{}, places)
 	f.usual = most
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -57,7 +57,7 @@
 func (c *Coordinator) arrives(from *client, query *protocol.Query, at time.Duration) {
 	c.gate.Waited(c.now, c.now-at)
 	switch {
-	case from.gone.Load(): // while it waited; what tells that comes behind
+	case from.gone.Load() || c.now-at > standstill && look(from.conn) == over: // while it waited; what tells that comes behind
 		c.counts.Taken++
 		c.counts.Left++
 	case c.byQuery[query.ID] != nil:
