--- a/cmd/terntray/crossings_test.go
+++ b/cmd/terntray/crossings_test.go
@@ -241,3 +241,117 @@
 		c.expect(map[int]string{3: value(a, 3)})
 	}
 }
+
+// A watch that falls silent is opened anew, and what it missed is kept, within the second that it may take before that counts
+// as told; the same for a SIGHUP that moves discovery while it is silent.
+func TestDrainMissedByASilentWatchIsLearnedInTime(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		a, b := newStandin(t, "s-a", 0, fulfil), newStandin(t, "s-b", 0, fulfil)
+		old, next := newAgent(t), newAgent(t)
+		set := strings.Replace(settings, `"discovery"`, `"guarantees":{"askEvery":2000000},"discovery"`, 1) // a watch waits for 1 s
+		env := configure(t, old.Listener.Addr().String(), 1024, set, a, b)
+		p := newProgram(t, env)
+		(<-old.Calls).Tell(listing(5, true, []*standin.Replica{a, b}))
+		<-old.Calls // the watch, which gets no answer
+		silent := time.Now()
+		a.State = "draining"
+		from, within := old, 2*time.Second
+		if moved {
+			file := strings.TrimPrefix(env[0], "ROUTER_CONFIG=")
+			text, _ := os.ReadFile(file)
+			os.WriteFile(file, []byte(strings.Replace(string(text), old.Listener.Addr().String(), next.Listener.Addr().String(), 1)), 0o600)
+			p.cmd.Process.Signal(syscall.SIGHUP)
+			<-next.Calls // the first call there gets none either
+			from, within = next, 1500*time.Millisecond
+		}
+		call := <-from.Calls
+		if took := time.Since(silent); took > within+500*time.Millisecond {
+			t.Errorf("moved %t: it is asked again after %v", moved, took)
+		}
+		if strings.Contains(call.Path, "from") {
+			t.Errorf("moved %t: %s asks for no whole list", moved, call.Path)
+		}
+		call.Tell(listing(7, true, []*standin.Replica{a, b}))
+		until(t, "the list is told", func() bool { return strings.Contains(p.logged(), "rev=7 ") })
+		c := p.connect()
+		for n := range 6 {
+			c.send(query("look", fmt.Sprint("q", n), 10, n))
+			c.expect(map[int]string{n: value(b, n)})
+		}
+		if len(a.Seen()) > 0 {
+			t.Errorf("moved %t: parts were sent to a draining replica", moved)
+		}
+		a.State = "ready"
+	}
+}
+
+func newAgent(t *testing.T) *standin.Agent {
+	a, err := standin.NewAgent()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { a.Listener.Close() })
+	return a
+}
+
+// Wherever its connection is cut, a single-use part runs once at the most, and where it may have run no answer says that
+// trying again is harmless.
+func TestSingleUsePartRunsOnceWhereverItsConnectionIsCut(t *testing.T) {
+	a, b := newStandin(t, "s-a", 0, fulfil), newStandin(t, "s-b", 0, fulfil)
+	p, _ := deployed(t, settings, a, b)
+	frame := 5 + len("q00.3 3 d=9999 6\nof q00")
+	cuts := []int{0, 1, 4, 5, 12, 20}
+	for n := range 9 {
+		cuts = append(cuts, frame-4+n)
+	}
+	for _, n := range cuts {
+		for _, s := range []*standin.Replica{a, b} {
+			s.Mu.Lock()
+			s.Cut = func() int { return n }
+			s.Mu.Unlock()
+			s.CutAll(n%2 == 0)
+		}
+		id := fmt.Sprintf("q%02d", n)
+		c := p.connect()
+		c.send(query("claim", id, 10, 3))
+		r := c.receive()
+		ran := 0
+		for _, s := range []*standin.Replica{a, b} {
+			for _, part := range s.Seen() {
+				if part.ID == id+".3" {
+					ran++
+				}
+			}
+		}
+		if ran > 1 || ran > 0 && r.status == 503 || r.status == 200 && ran != 1 {
+			t.Errorf("cut after %d bytes: run %d times, answered %d", n, ran, r.status)
+		}
+		c.Conn.Close()
+	}
+}
+
+// Told to end while it stands still, with requests on old and new connections behind it: all are answered.
+func TestRequestsThatComeWhileItIsToldToEndAreAnswered(t *testing.T) {
+	a := newStandin(t, "s-a", 0, fulfil)
+	p, _ := deployed(t, settings, a)
+	var all []*client
+	for range 6 {
+		all = append(all, p.connect())
+	}
+	p.stands(100*time.Millisecond, func() {
+		for range 6 {
+			all = append(all, p.connect())
+		}
+		for n, c := range all[:6] {
+			c.send(query("look", fmt.Sprint("old", n), 10, n))
+		}
+		p.cmd.Process.Signal(syscall.SIGTERM)
+		for n, c := range all[6:] {
+			c.send(query("look", fmt.Sprint("new", n), 10, n))
+		}
+	})
+	for n, c := range all {
+		c.expect(map[int]string{n % 6: value(a, n%6)})
+	}
+	p.ends(t)
+}
--- a/cmd/terntray/standins_test.go
+++ b/cmd/terntray/standins_test.go
@@ -121,6 +121,13 @@
 
 // start starts the program and waits until it serves.
 func start(t *testing.T, env []string, args ...string) *program {
+	p := newProgram(t, env, args...)
+	until(t, "GET /up", func() bool { return p.get("/up") == "200 up" })
+	return p
+}
+
+// newProgram starts it and waits until it can be connected to.
+func newProgram(t *testing.T, env []string, args ...string) *program {
 	p := &program{t: t, cmd: command(env, append([]string{"serve", "-trace"}, args...)...), done: make(chan struct{})}
 	p.cmd.Stderr = p
 	if err := p.cmd.Start(); err != nil {
@@ -142,7 +149,6 @@
 		p.addr, _, _ = strings.Cut(after, " ")
 		return ok && p.addr != ""
 	})
-	until(t, "GET /up", func() bool { return p.get("/up") == "200 up" })
 	return p
 }
 
