--- a/cmd/terntray/crossings_test.go
+++ b/cmd/terntray/crossings_test.go
@@ -370,3 +370,16 @@
 	c.send(query("claim", "q1", 10, 3))
 	c.expect(map[int]string{3: value(a, 3)})
 }
+
+// A track with a second step, which the protocol has not, gets no answer that passes for whole; the others are served.
+func TestTrackWithASecondStepIsRefused(t *testing.T) {
+	a := newStandin(t, "s-a", 0, fulfil)
+	p, _ := deployed(t, strings.Replace(settings, `"classFetch":[0,0,0]`, `"classFetch":[0,2,0]`, 1), a)
+	c := p.connect()
+	c.send(query("claim", "q1", 10, 3))
+	if r := c.receive(); r.status != 501 || r.last || a.Saw("q1") {
+		t.Errorf("answered %d, last %t", r.status, r.last)
+	}
+	c.send(query("look", "q2", 10, 3))
+	c.expect(map[int]string{3: value(a, 3)})
+}
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -283,9 +283,15 @@
 	if !k.letIn && !k.c.lets() {
 		return k.give(answer{protocol.TurnBackWith(0, "busy", k.last()), k.last()})
 	}
-	if k.c.marked[track] && r.Header.Get(reference) != "" { // no frame has a place for it, and without it a repeat runs
+	lacks := ""
+	if k.c.stepped[track] {
+		lacks = "the protocol has no second step"
+	} else if k.c.marked[track] && r.Header.Get(reference) != "" { // without it a repeat would run
+		lacks = "a reference cannot be passed on to replicas"
+	}
+	if lacks != "" {
 		k.c.post(func() { k.c.counts.Bad++ })
-		return k.give(answer{refusal(http.StatusNotImplemented, "a reference cannot be passed on to replicas", k.last()), k.last()})
+		return k.give(answer{refusal(http.StatusNotImplemented, lacks, k.last()), k.last()})
 	}
 	query, err := protocol.ReadQuery(r, k.c.longest, k.c.questions.takes)
 	if err != nil {
--- a/coordinator/deployment.go
+++ b/coordinator/deployment.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"os"
 	"strconv"
 	"strings"
@@ -207,11 +208,25 @@
 	return nil
 }
 
-// nth is an entry of a list of plain values, empty where there is none.
-func (d *Deployment) nth(list string, n int) string {
-	values := strings.Split(d.settings[list], ",")
-	if n >= len(values) {
-		return ""
+// carried gives the settings as this program can carry them out: messages between co-ordinators are allowed, not asked for,
+// and go to nobody where nobody is named; the protocol has no second step, and tracks with one are answered 501. Guards
+// against: settings of another customer that are valid, and with which this would not start.
+func (d *Deployment) carried(named bool) map[string]string {
+	settings := maps.Clone(d.settings)
+	for name, value := range d.notUsed(named) {
+		settings[name] = value
 	}
-	return values[n]
+	return settings
+}
+
+// notUsed are the settings that cannot be carried out, with the values that hold in their place.
+func (d *Deployment) notUsed(named bool) map[string]string {
+	all := map[string]string{}
+	if d.settings["bounds.peers"] == "true" && !named {
+		all["bounds.peers"] = "false"
+	}
+	if fetch := d.settings["familyInfo.classFetch"]; strings.Trim(fetch, "0,.-") != "" {
+		all["familyInfo.classFetch"] = "0"
+	}
+	return all
 }
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -33,17 +33,14 @@
 // settled gives the settings that the module starts with, and those to watch; nil: none. What the installation file says
 // of co-ordinators and sizes must fit them.
 func (d *Deployment) settled(in *installation.Installation) (settings, watched map[string]string, err error) {
-	allowed, weighed := d.settings["bounds.peers"] == "true", d.settings["weightKind"]
+	settings, weighed := d.carried(len(in.Peers.Others) > 0), d.settings["weightKind"]
+	allowed := d.settings["bounds.peers"] == "true"
 	if len(in.Peers.Others) > 0 && !allowed {
 		err = errors.New("installation: peers.others: setting bounds.peers allows no messages between co-ordinators")
 	}
-	if allowed && len(in.Peers.Others) == 0 {
-		err = errors.Join(err, errors.New("installation: peers.others: found nobody, wanted the other co-ordinators, as setting bounds.peers is true; false sends none"))
-	}
 	if len(in.Sizes) > 0 && weighed != "nominal" && weighed != "rough" && in.Watch.Settings["weightKind"] == "" {
 		err = errors.Join(err, fmt.Errorf("installation: sizes: setting weightKind is %q, wanted nominal or rough", weighed))
 	}
-	settings = d.settings
 	if len(in.Watch.Settings) > 0 {
 		watched = maps.Clone(settings)
 		maps.Copy(watched, in.Watch.Settings)
