--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -317,6 +317,46 @@
 	}
 }
 
+// A list that states no length ends with its connection; one that is reset on the way has no end, whatever of it came.
+func TestListWithoutALengthEndsWithItsConnectionAlone(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		a, err := standin.NewAgent()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := fronted(t)
+		c.list.hold = time.Minute
+		ctx, stop := context.WithCancel(context.Background())
+		told, ended := make(chan *protocol.Listing, 9), make(chan error, 1)
+		go func() {
+			ended <- c.list.calls(ctx, a.Listener.Addr().String(), func(l *protocol.Listing) { told <- l })
+		}()
+		call := <-a.Calls
+		io.WriteString(call.Conn, "HTTP/1.1 200 OK\r\n\r\n{\"rev\":5,\"all\":true,\"targets\":[]}")
+		if reset {
+			call.Conn.(*net.TCPConn).SetLinger(0)
+		}
+		call.Conn.Close()
+		select {
+		case l := <-told:
+			if reset || l.Rev != 5 {
+				t.Errorf("reset %t: told %+v", reset, l)
+			}
+			if next := <-a.Calls; !strings.Contains(next.Path, "from=5") { // on a connection of its own
+				t.Errorf("the next call is %s", next.Path)
+			}
+		case err := <-ended:
+			if !reset {
+				t.Errorf("it is taken for a failure: %v", err)
+			}
+			ended <- err
+		}
+		stop()
+		<-ended
+		a.Listener.Close()
+	}
+}
+
 // A new process serves nobody by its old list as long as a newer one may be had at once.
 func TestReadyOnlyOnceTheListIsKnownAnew(t *testing.T) {
 	for _, told := range []bool{true, false} {
--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
@@ -209,7 +211,11 @@
 		}
 		n, err := conn.Read(answers.Room())
 		answers.Filled(n)
-		if err != nil && n == 0 {
+		switch {
+		case err == nil || n > 0:
+		case errors.Is(err, io.EOF) && !answers.Ended():
+			answers.Ends()
+		default:
 			return nil, false, err
 		}
 	}
