Let an answer say what becomes of its connection, and no late word cut the last one off

Seen by reading: reply looked whether a connection ends when it made the bytes, and client.answer looked again when it handed them over. One look holds for both now. part also took the word of its own answer (wake's deadline in the past), coming late, for the end of what the client sends; the close that followed resets the connection if anything is unread. Now it reads on until its time is over. Both tests fail without their mend (tried: 'its connection ends true with ...' and 'what still came was left unread').

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -71,12 +71,29 @@
 // last tells whether an answer made now is the connection's last.
 func (k *client) last() bool { return k.ends.Load() || k.c.leaving.Load() || k.evicted.Load() }
 
+// answerWith makes an answer that says what becomes of its connection: one look at it holds for both. Guards against: a
+// connection that is told to go in between and ends, reading what still comes, with an answer that keeps it.
+func (k *client) answerWith(make func(last bool) []byte) answer {
+	last := k.last()
+	return answer{make(last), last}
+}
+
 // answer hands over the answer to the request that is out, from the goroutine that takes the turns.
-func (k *client) answer(bytes []byte) {
-	k.answers <- answer{bytes, k.last()}
+func (k *client) answer(make func(last bool) []byte) {
+	k.answers <- k.answerWith(make)
 	k.wake()
 }
 
+// plainly makes an answer of some words.
+func plainly(status int, words string) func(last bool) []byte {
+	return func(last bool) []byte { return refusal(status, words, last) }
+}
+
+// turnedBack makes the answer that trying again is harmless.
+func turnedBack(words string) func(last bool) []byte {
+	return func(last bool) []byte { return protocol.TurnBackWith(0, words, last) }
+}
+
 // wake has the connection's goroutine look up from its reading.
 func (k *client) wake() {
 	k.woken.Store(true)
@@ -264,24 +281,20 @@
 	switch {
 	case r.Path == "/up" && r.Method == http.MethodGet:
 		if !k.c.ready.Load() || k.c.leaving.Load() {
-			return k.give(answer{refusal(http.StatusServiceUnavailable, "not ready", k.last()), k.last()})
+			return k.give(k.answerWith(plainly(http.StatusServiceUnavailable, "not ready")))
 		}
-		return k.give(answer{refusal(http.StatusOK, "up", k.last()), k.last()})
+		return k.give(k.answerWith(plainly(http.StatusOK, "up")))
 	case r.Path == "/counters" && r.Method == http.MethodGet:
-		return k.c.post(func() {
-			k.answer(refusal(http.StatusOK, k.c.countersLine(), k.last()))
-		})
+		return k.c.post(func() { k.answer(plainly(http.StatusOK, k.c.countersLine())) })
 	case r.Path == "/beliefs" && r.Method == http.MethodGet:
-		return k.c.post(func() {
-			k.answer(refusal(http.StatusOK, k.c.beliefs(), k.last()))
-		})
+		return k.c.post(func() { k.answer(plainly(http.StatusOK, k.c.beliefs())) })
 	case r.Path == "/up" || r.Path == "/counters" || r.Path == "/beliefs" || known && r.Method != http.MethodPost:
 		return k.refuse(&protocol.Fault{Status: http.StatusMethodNotAllowed, Words: "this is for another method"})
 	case !known:
 		return k.refuse(&protocol.Fault{Status: http.StatusNotFound, Words: "no track is called so"})
 	}
 	if !k.letIn && !k.c.lets() {
-		return k.give(answer{protocol.TurnBackWith(0, "busy", k.last()), k.last()})
+		return k.give(k.answerWith(turnedBack("busy")))
 	}
 	lacks := ""
 	if k.c.stepped[track] {
@@ -291,7 +304,7 @@
 	}
 	if lacks != "" {
 		k.c.post(func() { k.c.counts.Bad++ })
-		return k.give(answer{refusal(http.StatusNotImplemented, lacks, k.last()), k.last()})
+		return k.give(k.answerWith(plainly(http.StatusNotImplemented, lacks)))
 	}
 	query, err := protocol.ReadQuery(r, k.c.longest, k.c.questions.takes)
 	if err != nil {
@@ -326,7 +339,7 @@
 		}
 		k.requests.Use(size)
 		k.begins(false)
-		if !k.give(answer{protocol.TurnBackWith(0, "busy", k.last()), k.last()}) {
+		if !k.give(k.answerWith(turnedBack("busy"))) {
 			return false
 		}
 	}
@@ -371,11 +384,12 @@
 	if half, ok := k.conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
 		return
 	}
-	k.conn.SetReadDeadline(time.Now().Add(parting))
-	rest := make([]byte, 4<<10)
+	rest, until := make([]byte, 4<<10), time.Now().Add(parting)
 	for read := 0; read < partingBytes; {
+		k.conn.SetReadDeadline(until)
 		n, err := k.conn.Read(rest)
-		if read += n; err != nil {
+		woken := errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(until) // by the word of this very answer
+		if read += n; err != nil && !woken {
 			return
 		}
 	}
--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -221,6 +221,62 @@
 	}
 }
 
+// What an answer says of its connection is what becomes of it, also if that is told to go while the answer is made.
+// Guards against: a connection that ends by an answer which keeps it, and reads and drops the client's next request.
+func TestAnswerSaysWhatBecomesOfItsConnection(t *testing.T) {
+	c := fronted(t)
+	k := c.client(t)
+	query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
+	c.turn(func() { c.arrives(k, query, c.now) }, func() {})
+	c.reply(c.byQuery["q"].id, &c.counts.Fulfilled, func(q *retrieval, last bool) []byte {
+		text := protocol.AnswerWith(true, nil, last)
+		k.evicted.Store(true)
+		return text
+	})
+	if a := <-k.answers; a.last != strings.Contains(string(a.bytes), "Connection: close") {
+		t.Errorf("its connection ends %t with %q", a.last, a.bytes)
+	}
+}
+
+// A word that comes late to the goroutine of a connection that has given its last answer does not end it before what the
+// client still sends is read: unread, that would reset the connection and cut the answer off.
+func TestLastAnswerIsNotCutOffByALateWord(t *testing.T) {
+	for try := 0; ; try++ {
+		c := fronted(t)
+		near, far := pair(t)
+		k := newClient(c, near)
+		began, parted := time.Now(), make(chan struct{})
+		go func() {
+			k.part()
+			close(parted)
+		}()
+		far.Read(make([]byte, 1)) // its end
+		for range 3 {
+			k.wake()
+			time.Sleep(time.Millisecond)
+		}
+		io.WriteString(far, "more")
+		read := false
+		for end := time.Now().Add(parting); !read && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			select {
+			case <-parted:
+				end = began
+			default:
+				read = look(near) == still
+			}
+		}
+		inTime := time.Since(began) < parting
+		far.Close()
+		<-parted
+		if read {
+			return
+		}
+		if inTime || try == 50 {
+			t.Fatalf("what still came was left unread, try %d", try)
+		}
+	}
+}
+
 // A connection that the machine took before the listener's end is served, also if this process stood still until then.
 func TestConnectionTakenBeforeTheListenersEndIsServed(t *testing.T) {
 	c := fronted(t)
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -68,7 +68,7 @@
 		c.counts.Taken++
 		c.counts.TurnedBack++
 		c.counts.Full++
-		from.answer(protocol.TurnBackWith(0, "too much is open", from.last()))
+		from.answer(turnedBack("too much is open"))
 	default:
 		c.counts.Taken++
 		c.take(from, query, at)
@@ -79,7 +79,7 @@
 func (c *Coordinator) bad(from *client, status int, words string) {
 	c.counts.Bad++
 	from.ends.Store(true)
-	from.answer(refusal(status, words, true))
+	from.answer(plainly(status, words))
 }
 
 func (c *Coordinator) unknownShard(query *protocol.Query) int {
@@ -215,7 +215,7 @@
 		c.counts.HeldBack++
 	}
 	c.close(q)
-	q.client.answer(make(q, q.client.last()))
+	q.client.answer(func(last bool) []byte { return make(q, last) })
 }
 
 // went tells whether any leg was written whole.
