Begin no part anew whose retrieval or part was over when its connection broke

Seen by reading: where nothing may be called off (bounds.mayCancel false, another customer's setting) a leg that was being written when its client left or its retrieval got its final answer stayed wanted: letGo could not withdraw it, nobody gave it up, and pool.Ended had another connection carry it, however much later: a part sent after the final answer, or for a client that has left. The same for the other leg of a part that was in, which went out even if it was not begun yet. Now what is not wanted any more is withdrawn or, where it is begun, ends with its connection (pool.Stays). Three tests, each seen to fail without its mend: 'it goes on another connection', '1 legs, 1 parts are left', 'over false, 2 connections'.

--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -498,6 +498,87 @@
 	}
 }
 
+// A part that was being written when its retrieval ended goes on no other connection should that one break, also where
+// nothing may be called off. Guards against: parts sent after the final answer, or for a client that has left.
+func TestPartBegunWhenItsRetrievalEndedIsNotBegunAnew(t *testing.T) {
+	for _, leaves := range []bool{true, false} {
+		cell := 0
+		d := deployment(t, protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell})
+		d.settings["bounds.mayCancel"] = "false"
+		c, err := New(d, log.New(io.Discard, "", 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.fleet.stop()
+		k := c.client(t)
+		query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
+		c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
+		ended := <-c.inbox // of its connection, which is as good as one that was up and broke
+		q := c.byQuery["q"]
+		for id := range c.fleet.links {
+			c.fleet.pool.Up(c.now, id)
+		}
+		l := q.parts[0].legs[0]
+		l.call.Stage = dialect.Begun
+		if leaves {
+			c.turn(func() { c.clientLeaves(k) }, c.endTurn)
+		} else {
+			c.turn(func() { c.Scrap(q.id) }, c.endTurn)
+		}
+		if c.turn(ended, c.endTurn); len(c.fleet.links) > 0 {
+			t.Errorf("its client leaves %t: it goes on another connection", leaves)
+		}
+		c.turnWith()
+		if len(c.fleet.legs)+len(c.parts) > 0 {
+			t.Errorf("its client leaves %t: %d legs, %d parts are left", leaves, len(c.fleet.legs), len(c.parts))
+		}
+	}
+}
+
+// The same for the other leg of a part that is in, be it begun or not.
+func TestOtherLegOfAPartThatIsInGoesNowhere(t *testing.T) {
+	for _, begun := range []bool{true, false} {
+		cell := 0
+		d := deployment(t, protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell})
+		d.settings["bounds.mayCancel"] = "false"
+		c, err := New(d, log.New(io.Discard, "", 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.fleet.stop()
+		k := c.client(t)
+		query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 0.5}, {Shard: 2, Weight: 0.5}}}
+		c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
+		p := c.byQuery["q"].parts[0]
+		c.turn(func() { c.Send(p.id, p.legs[0].to, time.Second) }, func() {})
+		first, other := p.legs[0], p.legs[1]
+		if begun {
+			other.call.Stage = dialect.Begun
+		}
+		var on, beside *link
+		for id, l := range c.fleet.links {
+			c.fleet.pool.Up(c.now, id)
+			if on == nil || id < on.id {
+				on = l
+			}
+			if beside == nil || id > beside.id { // a replica gets two legs of one part on two of them
+				beside = l
+			}
+		}
+		c.turn(func() {
+			c.replied(on, &dialect.Event{Kind: dialect.Answered, Wire: first.call.Wire, End: dialect.OK, Value: []byte("v"), Busy: -1}, c.now)
+		}, func() {})
+		if !p.in {
+			t.Fatal("the part is not in")
+		}
+		before := len(c.fleet.links)
+		c.turn(func() { c.linkEnded(beside, io.EOF, c.now) }, func() {})
+		if c.turn(func() {}, func() {}); !other.over || len(c.fleet.links) > before-1 {
+			t.Errorf("begun %t: over %t, %d connections after %d", begun, other.over, len(c.fleet.links), before)
+		}
+	}
+}
+
 // with makes a coordinator of settings of which one is replaced.
 func with(t *testing.T, old, new string) error {
 	text := strings.Replace(nested, old, new, 1)
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -183,10 +183,8 @@
 
 // letGo lets go of the legs of a part whose step or retrieval is over, as far as they are.
 func (c *Coordinator) letGo(p *part) {
+	c.withhold(p)
 	for _, l := range p.legs {
-		if !l.over && c.fleet.pool.Withdraw(c.now, &l.Leg) {
-			c.tell(l, decide.Cancelled)
-		}
 		if l.over && l.Call != nil {
 			c.fleet.pool.Forget(c.now, &l.Leg)
 		}
@@ -194,6 +192,19 @@
 	c.clear(p)
 }
 
+// withhold keeps what has not gone out yet of a part of which nothing more is wanted from going out.
+func (c *Coordinator) withhold(p *part) {
+	for _, l := range p.legs {
+		switch {
+		case l.over:
+		case c.fleet.pool.Withdraw(c.now, &l.Leg):
+			c.tell(l, decide.Cancelled)
+		default: // it is begun: if that fails, it is not begun anew
+			c.fleet.pool.Stays(&l.Leg)
+		}
+	}
+}
+
 // over tells whether nothing more is wanted of a part.
 func (p *part) over() bool { return p.done || p.of.closed }
 
@@ -361,4 +372,7 @@
 		how = decide.TurnedAway
 	}
 	c.ends(l, how, at-l.SentAt)
+	if l.part.in { // its other legs, where nothing may be called off
+		c.withhold(l.part)
+	}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -394,11 +394,13 @@
 	return true
 }
 
+// Stays tells that a leg is wanted nowhere else: should its connection end before it is written, no other carries it.
+// Guards against: parts that go out after their retrieval's answer, or for a client that has left, where none is called off.
+func (p *Pool) Stays(l *Leg) { l.moved = true }
+
 // Went tells whether a leg was written whole, as far as that is known.
 func (p *Pool) Went(l *Leg) bool {
-
 	return l.conn != nil && p.host.Stage(l.conn.id, l) == dialect.Written
-
 }
 
 // GiveUp tells that nobody waits for a leg any more; the far side is told, if it has been begun, and nothing more is told
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -149,6 +149,25 @@
 	f.expect(c, decide.Unreachable)
 }
 
+// What a connection ends with unwritten goes nowhere else once it is not wanted, whatever its dialect.
+func TestLegThatIsNotWantedElsewhereEndsWithItsConnection(t *testing.T) {
+	for _, d := range []dialect.Name{dialect.Frames, dialect.HTTP2} {
+		f := newFarm(t, Limits{Multiplex: 8, Conns: 9})
+		f.listed(d)
+		a, one := f.send("q.1", false)
+		b, _ := f.send("q.2", false)
+		f.p.Up(f.now, one)
+		a.Call.Stage, b.Call.Stage = dialect.Begun, dialect.Begun
+		f.p.Stays(a)
+		f.p.Ended(f.now, one, nil, f.now)
+		f.expect(a, decide.Unreachable)
+		f.expect(b)
+		if a.conn != nil && a.conn.id != one || b.conn == nil || b.conn.id == one {
+			t.Errorf("%s: the one is on %v, the other on %v", d, a.conn, b.conn)
+		}
+	}
+}
+
 // A leg that waits when the replica is told to drain must not go out after the grace: not from a connection, not from
 // before a far side's limit, and not by a move.
 func TestNothingNewGoesToAReplicaThatDrains(t *testing.T) {
