Hear the next client at once however many wait or rest, also at the listener's end

Seen by reading (what of requests in the accept queue when the slots are full?) and forced over loopback with 36 descriptors, which leave eight slots: - with all slots taken by requests that wait for silent replicas a further one lay unread in the machine's queue until one of those ended (20.3 s in the test, its own deadline 0.5 s). Now a retrieval that would leave too few slots is turned back at once (front.crowded), as beyond maxOpen. - front.evicting counted clients told to go that had read a request meanwhile, and accept looked for idle ones only before it waited: a client that had its answer and rested held up the queue for 2 s, each one in turn (10.0 s for five). Now who is busy does not count, it is looked again each 5 ms while no slot is free, and answers given then end their connections. - told to end, the last look of 50 ms could pass while no slot was free, and the listener's close reset what waited; it is begun anew then, until 3.7 s after the word to end at the most. Both tests fail without each mend (tried).

--- a/cmd/terntray/crossings_test.go
+++ b/cmd/terntray/crossings_test.go
@@ -383,3 +383,25 @@
 	c.send(query("look", "q2", 10, 3))
 	c.expect(map[int]string{3: value(a, 3)})
 }
+
+// However many requests wait for an answer, the next is heard and answered at once: it does not lie in the machine's queue
+// until one of those ends, nor behind a client that has its answer and rests. With 36 descriptors there are eight places.
+func TestRequestBehindWaitingOnesIsHeardAtOnce(t *testing.T) {
+	a := newStandin(t, "s-a", 0, silent)
+	p := start(t, configure(t, newRoster(t, "127.0.0.1:0", a).Listener.Addr().String(), 36, settings, a))
+	for n := range 8 { // all but one may wait
+		p.connect().send(query("look", fmt.Sprint("waits", n), 20, n))
+	}
+	until(t, "they wait", func() bool { return strings.Count(p.logged(), "retrieval=waits") >= 7 })
+	for n := range 9 {
+		c := p.connect()
+		began := time.Now()
+		c.send(query("look", fmt.Sprint("q", n), 0.5, 9))
+		if r := c.receive(); r.status != 503 || time.Since(began) > time.Second {
+			t.Errorf("%d: answered %d after %v", n, r.status, time.Since(began))
+		}
+	}
+	if n := p.counters(); n["taken"] != 17 || n["full"] != 10 {
+		t.Errorf("counters %v", n)
+	}
+}
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -69,7 +69,9 @@
 }
 
 // last tells whether an answer made now is the connection's last.
-func (k *client) last() bool { return k.ends.Load() || k.c.leaving.Load() || k.evicted.Load() }
+func (k *client) last() bool {
+	return k.ends.Load() || k.c.leaving.Load() || k.evicted.Load() || k.c.front.waits.Load()
+}
 
 // answerWith makes an answer that says what becomes of its connection: one look at it holds for both. Guards against: a
 // connection that is told to go in between and ends, reading what still comes, with an answer that keeps it.
--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -301,6 +301,39 @@
 	}
 }
 
+// The same where no slot is free until the listener's last look is over: the one before it holds the only one.
+func TestConnectionTakenBeforeTheListenersEndIsServedOnceThereIsASlot(t *testing.T) {
+	c := fronted(t)
+	c.ready.Store(true)
+	c.front.slots = make(chan struct{}, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var far [2]net.Conn
+	for n := range far {
+		if far[n], err = net.Dial("tcp", l.Addr().String()); err != nil {
+			t.Fatal(err)
+		}
+		defer far[n].Close()
+		far[n].SetDeadline(time.Now().Add(20 * time.Second))
+		io.WriteString(far[n], "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+	}
+	c.leftAt.Store(time.Now().Add(-goingOn).UnixNano())
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(-time.Second))
+	c.front.listener = l
+	go c.front.accept(c)
+	got := make([]byte, 12)
+	if _, err := io.ReadFull(far[0], got); err != nil || string(got) != "HTTP/1.1 200" {
+		t.Fatalf("the first: %q, %v", got, err)
+	}
+	time.Sleep(2 * sweepUp) // it keeps its slot until the last look is over
+	far[0].Close()
+	if _, err := io.ReadFull(far[1], got); err != nil || string(got) != "HTTP/1.1 200" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
 // Told to end, it takes no request that comes later than it may still be answered.
 func TestRequestsInPiecesEndWithTheTimeToCome(t *testing.T) {
 	c := fronted(t)
--- a/coordinator/front.go
+++ b/coordinator/front.go
@@ -21,6 +21,7 @@
 	goingOn    = 700 * time.Millisecond // after the word to end: how long clients may still come
 	sweepUp    = 50 * time.Millisecond  // for what the machine has accepted when that is over
 	acceptWait = 10 * time.Millisecond  // after an accept that failed
+	slotWait   = 5 * time.Millisecond   // between looks for who may leave while no slot is free
 )
 
 // front owns the listener and the clients' connections.
@@ -30,9 +31,10 @@
 	large    chan struct{} // one place for each request that is larger than most
 	running  sync.WaitGroup
 
+	waits atomic.Bool // for a slot: clients that have their answers are to leave; read by all
+
 	mu      sync.Mutex
 	clients map[*client]struct{}
-	going   int // of those, told to go
 	known   int // of those, have asked and were not told to go
 	usual   int // so many of them may be open
 
@@ -67,9 +69,9 @@
 func (f *front) accept(c *Coordinator) {
 	defer f.listener.Close()
 	for swept := false; ; {
-		for len(f.slots)-f.evicting() >= cap(f.slots)-cap(f.slots)/freeShare-1 && f.evict() {
+		if f.slot() && swept && time.Since(time.Unix(0, c.leftAt.Load())) < goingOn+writeLimit {
+			f.closeSoon(sweepUp) // the look for those that wait was held up
 		}
-		f.slots <- struct{}{}
 		conn, err := f.listener.Accept()
 		switch {
 		case err == nil:
@@ -98,6 +100,48 @@
 	}
 }
 
+// slot waits for a slot. Idle clients leave for it, and while none is free also those that get their answers.
+// It tells whether it had to wait. Guards against: connections that wait in the machine's queue behind one that has its
+// answer and rests.
+func (f *front) slot() (waited bool) {
+	defer f.waits.Store(false)
+	for ; ; waited = true {
+		for f.tight() && f.evict() {
+		}
+		select {
+		case f.slots <- struct{}{}:
+			return waited
+		case <-time.After(slotWait):
+			f.waits.Store(true)
+		}
+	}
+}
+
+// tight tells whether few slots are free or about to be. Who was told to go and has something open goes only with that.
+func (f *front) tight() bool {
+	most := cap(f.slots)
+	taken := len(f.slots) - (most - most/freeShare - 1)
+	if taken < 0 {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k := range f.clients {
+		if k.evicted.Load() && k.idleSince.Load() > 0 {
+			taken--
+		}
+	}
+	return taken >= 0
+}
+
+// crowded tells whether so many retrievals are open that their clients leave too few slots for others to be heard.
+// Guards against: requests that lie unread behind waiting ones until their time is over. Could hurt: by a turn-back,
+// which is harmless, where replicas hang and descriptors or memory are few.
+func (f *front) crowded(open int) bool {
+	most := cap(f.slots)
+	return most > 0 && open >= max(1, most-most/freeShare-1)
+}
+
 // enlarge takes a place for a large request, if there is one; lessen gives it back.
 func (f *front) enlarge() bool {
 	select {
@@ -118,21 +162,13 @@
 	}
 	f.mu.Lock()
 	delete(f.clients, k)
-	if k.evicted.Load() {
-		f.going--
-	} else if k.known.Load() {
+	if !k.evicted.Load() && k.known.Load() {
 		f.known--
 	}
 	f.mu.Unlock()
 	<-f.slots
 }
 
-func (f *front) evicting() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.going
-}
-
 // meet notes that a client has asked for the first time. Guards against: clients that ask once and keep their
 // connections until none is left to them for other requests. Could hurt: who comes back soon finds a closed one.
 func (f *front) meet(k *client) {
@@ -173,7 +209,6 @@
 	if longest != nil {
 		longest.evicted.Store(true)
 		f.evicted.Add(1)
-		f.going++
 		if longest.known.Load() {
 			f.known--
 		}
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -64,7 +64,7 @@
 		c.bad(from, http.StatusConflict, "a retrieval with this Req-Id is open")
 	case c.unknownShard(query) >= 0:
 		c.bad(from, http.StatusBadRequest, fmt.Sprintf("there is no segment %d", c.unknownShard(query)))
-	case c.held >= c.maxOpen:
+	case c.held >= c.maxOpen || c.front.crowded(len(c.retrievals)):
 		c.counts.Taken++
 		c.counts.TurnedBack++
 		c.counts.Full++
