Answer a request at which a turn breaks, and tell what that turn still had to tell

docs/endings.md named the first as not closed: a turn that panics before a retrieval is registered gave its client no answer, ever. The second is new: turn took the list of what the module is to be told and lost its rest if one of it panicked, so those legs stayed in fleet.legs and held their places on connections for good. What is left is kept (turns.told), and broken tells it to the new module. Both tests fail without their mend (tried: 'it is not answered', '1 legs, 0 parts, 0 retrievals are left'). It takes a fault of the program.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -55,6 +56,7 @@
 	retrievals map[decide.RequestID]*retrieval // open ones
 	byQuery    map[string]*retrieval           // the same by the client's id
 	parts      map[decide.RequestID]*part      // of open retrievals, or with legs out
+	arriving   *client                         // whose request is looked at in this turn and is not among them yet
 	held       int                             // open retrievals, and parts of theirs that are not in
 	lastID     decide.RequestID
 	lastNumber decide.RetrievalNumber
@@ -218,6 +220,10 @@
 func (c *Coordinator) broken(cause string) {
 	c.counts.Broken++
 	c.log.Printf("event=broken cause=%q", cause)
+	if k := c.arriving; k != nil {
+		c.arriving = nil
+		k.answer(plainly(http.StatusInternalServerError, "scrapped"))
+	}
 	for _, q := range c.inOrder() {
 		for _, p := range q.parts {
 			for n := range p.legs {
@@ -226,8 +232,8 @@
 		}
 		c.Scrap(q.id)
 	}
-	told := c.next
-	c.next = nil
+	told := append(c.told, c.next...)
+	c.told, c.next = nil, nil
 	if err := c.begin(); err != nil {
 		c.log.Printf("event=broken cause=%q", err)
 	}
--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"terntray/decide"
 	"terntray/internal/dialect"
 	"terntray/internal/protocol"
 	"terntray/internal/standin"
@@ -506,6 +507,47 @@
 	}
 }
 
+// A request at which a turn breaks before anything of it is open gets its answer.
+func TestRequestAtWhichATurnBreaksIsAnswered(t *testing.T) {
+	c := fronted(t)
+	k := c.client(t)
+	query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}},
+		Question: &protocol.Question{}} // which this track does not take, so that nothing is ready for it
+	cause := guard(func() { c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn) })
+	if cause == "" {
+		t.Fatal("nothing breaks")
+	}
+	c.broken(cause)
+	if len(k.answers) != 1 || !strings.Contains(string((<-k.answers).bytes), " 500 ") {
+		t.Error("it is not answered")
+	}
+	query.Question = nil
+	c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
+	c.broken("as if, later")
+	if len(k.answers) != 1 {
+		t.Errorf("the next has %d answers", len(k.answers))
+	}
+}
+
+// The same for legs whose end was to be told in the turn that broke, behind what broke it.
+func TestWhatABrokenTurnWasToTellIsTold(t *testing.T) {
+	c := fronted(t)
+	k := c.client(t)
+	query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
+	c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
+	for _, l := range c.fleet.legs {
+		c.next = append(c.next, func() { panic("as if") })
+		c.giveUp(l, decide.TimedOut)
+	}
+	if cause := guard(c.turnWith); cause == "" || len(c.fleet.legs) != 1 {
+		t.Fatalf("it breaks by %q with %d legs", cause, len(c.fleet.legs))
+	}
+	c.broken("as if")
+	if c.turnWith(); len(c.fleet.legs)+len(c.parts)+len(c.retrievals) > 0 {
+		t.Errorf("%d legs, %d parts, %d retrievals are left", len(c.fleet.legs), len(c.parts), len(c.retrievals))
+	}
+}
+
 // A write that the far side does not take ends with its connection before a client of it can be gone for 0.3 s, however
 // long connections may take to come up. What was not begun by then can be taken back.
 func TestWriteThatIsNotTakenEndsSoon(t *testing.T) {
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -56,6 +56,7 @@
 // arrives takes a query in. It was whole at that time.
 func (c *Coordinator) arrives(from *client, query *protocol.Query, at time.Duration) {
 	c.gate.Waited(c.now, c.now-at)
+	c.arriving = from
 	switch {
 	case from.gone.Load() || c.now-at > standstill && look(from.conn) == over: // while it waited; what tells that comes behind
 		c.counts.Taken++
@@ -73,6 +74,7 @@
 		c.counts.Taken++
 		c.take(from, query, at)
 	}
+	c.arriving = nil
 }
 
 // bad answers what is no retrieval and ends its client's connection.
@@ -110,7 +112,7 @@
 	}
 	q.number = number
 	c.retrievals[q.id], c.byQuery[query.ID] = q, q
-	from.open = q
+	from.open, c.arriving = q, nil
 	c.held++
 	left := max(0, q.cutOff-c.now)
 	q.ends = c.after(left, "", func() { c.overdue(q) })
--- a/coordinator/turns.go
+++ b/coordinator/turns.go
@@ -20,6 +20,7 @@
 	now    time.Duration // of the present turn
 	inbox  chan func()
 	next   []func() // what the module is told at the start of the next turn
+	told   []func() // what is left of that in the present one
 	timers timers
 	set    uint64            // timers so far
 	named  map[string]*timer // the last of a name
@@ -161,9 +162,9 @@
 // turn is one turn.
 func (t *turns) turn(first, ends func()) {
 	t.now = time.Since(t.born)
-	told := t.next
-	t.next = nil
-	for _, do := range told {
+	for t.told, t.next = t.next, nil; len(t.told) > 0; {
+		do := t.told[0]
+		t.told = t.told[1:]
 		do()
 	}
 	first()
