Leave a connection that takes nothing at once, and end it where nothing can have run

Seen by reading: a write that is not taken ends after 0.25 s at the most, but what waited behind it stayed there until the connection was given back, up to 1 s later (lastWords), while others would have carried it; with cut-offs under 0.5 s that is the whole time of a retrieval. pool.Doubt now moves what was not begun, once, and closes the connection where no leg on it is written whole, which proves the rest never ran. The test fails without it (tried: what was not begun stays on the connection).

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -478,12 +478,29 @@
 	}
 }
 
-// Doubt tells that what was to be written on a connection was not taken: nothing new goes there.
+// Doubt tells that what was to be written on a connection was not taken: nothing new goes there, what was not begun goes on
+// another at once, and where nothing can have run the connection ends now, which proves it. Guards against: legs that wait
+// behind a connection that takes nothing while others would take them. Could hurt: by a connection more.
 func (p *Pool) Doubt(now time.Duration, id ConnID) {
 	p.now = now
-	if c := p.conns[id]; c != nil {
-		c.doubted = true
+	c := p.conns[id]
+	if c == nil || c.closed {
+		return
+	}
+	c.doubted = true
+	r := c.replica
+	var back []*Leg
+	for _, l := range slices.Clone(c.out) {
+		if !l.over && !l.moved && !r.left && !r.drains && p.host.Withdraw(id, l) {
+			c.out = slices.DeleteFunc(c.out, func(o *Leg) bool { return o == l })
+			l.moved, l.conn = true, nil
+			back = append(back, l)
+		}
+	}
+	if !slices.ContainsFunc(c.out, func(l *Leg) bool { return p.host.Stage(id, l) == dialect.Written }) {
+		p.close(c)
 	}
+	p.again(r, c, back, now)
 }
 
 // noise is what a reply to nothing that is out makes of a connection.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -168,6 +168,39 @@
 	}
 }
 
+// A connection that takes nothing is left at once by what was not begun; it ends at once where nothing on it can have run.
+func TestConnectionThatTakesNothingIsLeftAtOnce(t *testing.T) {
+	for _, d := range []dialect.Name{dialect.Frames, dialect.HTTP2} {
+		for _, ran := range []bool{true, false} {
+			f := newFarm(t, Limits{Multiplex: 8, Conns: 9})
+			f.listed(d)
+			a, one := f.send("q.1", false)
+			b, _ := f.send("q.2", false)
+			c, _ := f.send("q.3", false)
+			f.p.Up(f.now, one)
+			if a.Call.Stage = dialect.Begun; ran {
+				a.Call.Stage = dialect.Written
+			}
+			b.Call.Stage = dialect.Begun
+			f.p.Doubt(f.now, one)
+			f.expect(a)
+			f.expect(b)
+			f.expect(c)
+			if c.conn == nil || c.conn.id == one {
+				t.Errorf("%s: what was not begun is on %v", d, c.conn)
+			}
+			if f.shut[one] == ran {
+				t.Errorf("%s: with one that may have run %t it ends %t", d, ran, f.shut[one])
+			}
+			f.p.Ended(f.now, one, nil, f.now)
+			f.expect(c)
+			if b.conn == nil || b.conn.id == one {
+				t.Errorf("%s: what was not written whole is on %v", d, b.conn)
+			}
+		}
+	}
+}
+
 // A leg that waits when the replica is told to drain must not go out after the grace: not from a connection, not from
 // before a far side's limit, and not by a move.
 func TestNothingNewGoesToAReplicaThatDrains(t *testing.T) {
