--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -625,7 +625,9 @@
 		query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 0.5}, {Shard: 2, Weight: 0.5}}}
 		c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
 		p := c.byQuery["q"].parts[0]
-		c.turn(func() { c.Send(p.id, p.legs[0].to, time.Second) }, func() {})
+		<-c.inbox // the end of its connection; they are as good as ones that stand
+		c.Send(p.id, p.legs[0].to, time.Second)
+		<-c.inbox
 		first, other := p.legs[0], p.legs[1]
 		if begun {
 			other.call.Stage = dialect.Begun
