Ask for a silent watch anew before what it missed counts, also where lists are asked for

Seen by reading: where lists come to those who ask (discovery subscribe, another customer's setting) a watch counted as lost 2 s after its wait was over, exactly when what it missed counts as told; then the module waits 0.25 to 0.75 s before it asks. Forced over loopback: asked anew 3.5 s after a watch of 1 s fell silent, wanted within 3 s; with a drain grace below half a second that breaks the drain. Now an answer counts as lost 1 s after its wait; the test takes 2.3 to 2.8 s and fails without the change. More tests, which show no fault: a request behind an answer made before the word to end, a client's driver that breaks, an accept that fails.

--- a/cmd/terntray/crossings_test.go
+++ b/cmd/terntray/crossings_test.go
@@ -285,6 +285,22 @@
 	}
 }
 
+// The same where lists come to those who ask only: a watch that has fallen silent is asked anew before what it missed counts
+// as told, 2 s after its wait is over.
+func TestSilentWatchIsAskedAnewWhereListsAreAskedFor(t *testing.T) {
+	a, agent := newStandin(t, "s-a", 0, fulfil), newAgent(t)
+	set := strings.Replace(settings, `"discovery":"automatic"`, `"guarantees":{"askEvery":2000000},"discovery":"subscribe"`, 1) // a watch waits for 1 s
+	newProgram(t, configure(t, agent.Listener.Addr().String(), 1024, set, a))
+	(<-agent.Calls).Tell(listing(5, true, []*standin.Replica{a}))
+	if call := <-agent.Calls; !strings.Contains(call.Path, "hold_ms=1000") {
+		t.Fatalf("%s is no watch that waits for 1 s", call.Path)
+	}
+	silent := time.Now()
+	if call := <-agent.Calls; time.Since(silent) > 3*time.Second || strings.Contains(call.Path, "from") {
+		t.Errorf("%s comes after %v", call.Path, time.Since(silent))
+	}
+}
+
 func newAgent(t *testing.T) *standin.Agent {
 	a, err := standin.NewAgent()
 	if err != nil {
--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -278,6 +279,110 @@
 	}
 }
 
+// An answer that was made before the word to end and is written after it keeps its connection: a request that crosses the
+// end which follows is served all the same, and told that it was the last.
+func TestRequestBehindAnAnswerMadeBeforeTheWordToEndIsServed(t *testing.T) {
+	c := fronted(t)
+	near, far := pair(t)
+	k := newClient(c, near)
+	io.WriteString(far, asking("q"))
+	go k.serveSafely()
+	(<-c.inbox)()
+	c.Answer(c.byQuery["q"].id, true)
+	c.leftAt.Store(time.Now().UnixNano())
+	c.leaving.Store(true)
+	io.WriteString(far, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+	text, err := io.ReadAll(far)
+	answers := strings.Split(string(text), "HTTP/1.1 ")
+	if err != nil || len(answers) != 3 || !strings.HasPrefix(answers[1], "200") || strings.Contains(answers[1], "close") ||
+		!strings.HasPrefix(answers[2], "503") || !strings.Contains(answers[2], "Connection: close") {
+		t.Errorf("%q, %v", answers, err)
+	}
+}
+
+// breaking is a connection whose reads break the driver once it is told.
+type breaking struct {
+	net.Conn
+	now chan struct{}
+}
+
+func (b *breaking) Read(p []byte) (int, error) {
+	select {
+	case <-b.now:
+		panic("as if")
+	default:
+	}
+	return b.Conn.Read(p)
+}
+
+// A client's driver that breaks costs its own connection alone: what it has open is told as left, its slot is given back.
+func TestBrokenDriverOfAClientIsToldAsLeft(t *testing.T) {
+	c := fronted(t)
+	near, far := pair(t)
+	b := &breaking{near, make(chan struct{})}
+	k := newClient(c, b)
+	c.front.slots <- struct{}{}
+	c.front.clients[k] = struct{}{}
+	go func() {
+		k.serveSafely()
+		c.front.release(k)
+	}()
+	io.WriteString(far, asking("q"))
+	(<-c.inbox)()
+	close(b.now)
+	k.wake()
+	(<-c.inbox)()
+	if n, err := far.Read(make([]byte, 1)); err == nil {
+		t.Errorf("%d bytes come", n)
+	}
+	for end := time.Now().Add(20 * time.Second); len(c.front.slots) > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("its slot is taken")
+		}
+	}
+	if len(c.retrievals) > 0 || c.counts.Left != 1 {
+		t.Errorf("%d retrievals, counts %+v", len(c.retrievals), c.counts)
+	}
+}
+
+// failing is a listener of which some accepts fail, as where descriptors are used up.
+type failing struct {
+	net.Listener
+	times int
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	if f.times--; f.times >= 0 {
+		return nil, syscall.EMFILE
+	}
+	return f.Listener.Accept()
+}
+
+// An accept that fails loses no slot and ends nothing: what waits is taken a little later.
+func TestAcceptThatFailsIsMadeAgain(t *testing.T) {
+	c := fronted(t)
+	c.ready.Store(true)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.front.slots = make(chan struct{}, 2)
+	c.front.listener = &failing{l, 5}
+	go c.front.accept(c)
+	defer l.Close()
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	far.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(far, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+	got := make([]byte, 12)
+	if _, err := io.ReadFull(far, got); err != nil || string(got) != "HTTP/1.1 200" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
 // A connection that the machine took before the listener's end is served, also if this process stood still until then.
 func TestConnectionTakenBeforeTheListenersEndIsServed(t *testing.T) {
 	c := fronted(t)
--- a/coordinator/list.go
+++ b/coordinator/list.go
@@ -14,8 +14,9 @@
 
 const (
 	hold      = 5 * time.Second        // a watch may wait so long, where the settings do not imply it
-	answersIn = 2 * time.Second        // how much later than that its answer counts as lost,
-	agentsIn  = 500 * time.Millisecond // and where an agent on this machine tells what changes, which answers at once
+	answersIn = 2 * time.Second        // for the whole list to come
+	dueIn     = 1 * time.Second        // how much later than it may wait a watch's answer counts as lost: what it misses is told 2 s later,
+	agentsIn  = 500 * time.Millisecond // and for both, where an agent on this machine tells what changes, which answers at once
 	askAgain  = 200 * time.Millisecond // between beginnings of a watch where changes come unasked
 )
 
@@ -200,6 +201,7 @@
 		}
 		rev = told.Rev
 		request, wait = protocol.Watch(host, rev, l.hold.Milliseconds()), l.hold
+		within = min(within, dueIn)
 	}
 }
 
