End a connection whose answer goes on without end, and not only one that stops

Seen by reading, forced over loopback: each byte of a frame that has begun gave it as long again (link.read), so a replica that sends a byte each 20 ms held its connection and the answers behind it until the cut-off (10.0 s in the test; 0.4 s now, with 0.1 s for a connection to come up). A message has to be whole within four times what one piece of it may take; what lies unread here after a standstill is read first. The test fails without the mend (tried).

--- a/cmd/terntray/crossings_test.go
+++ b/cmd/terntray/crossings_test.go
@@ -387,6 +387,32 @@
 	c.expect(map[int]string{3: value(a, 3)})
 }
 
+// An answer that goes on and on, a byte at a time, ends its connection within a bound: nothing waits behind it for a whole
+// cut-off. A part that may run again is answered elsewhere, one that may not is given up for good.
+func TestAnswerWithoutEndEndsItsConnectionSoon(t *testing.T) {
+	a := newStandin(t, "s-a", 0, func(s *standin.Replica, c standin.Call) {
+		go func() {
+			io.WriteString(c.Conn, "\x00\x00\xff\xffY")
+			for {
+				if _, err := io.WriteString(c.Conn, "7"); err != nil {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+	})
+	p, _ := deployed(t, strings.Replace(settings, `"connectTimeout":1000000`, `"connectTimeout":100000`, 1), a)
+	c := p.connect()
+	began := time.Now()
+	c.send(query("claim", "q1", 10, 3))
+	if r := c.receive(); r.status != 500 || time.Since(began) > 5*time.Second {
+		t.Errorf("answered %d after %v", r.status, time.Since(began))
+	}
+	if n := p.counters(); n["legs_spoilt"] != 1 || n["spoilt"] != 1 {
+		t.Errorf("counters %v", n)
+	}
+}
+
 // A track with a second step, which the protocol has not, gets no answer that passes for whole; the others are served.
 func TestTrackWithASecondStepIsRefused(t *testing.T) {
 	a := newStandin(t, "s-a", 0, fulfil)
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -16,6 +16,7 @@
 const (
 	lastWords   = time.Second            // what a connection that cannot be written to may still bring
 	goodbye     = 50 * time.Millisecond  // for the last word on a connection
+	wholeTimes  = 4                      // times what a piece of a message may take: for all of it from the first on
 	frameWithin = 100 * time.Millisecond // for a message that has begun to come to go on, at the least; else as long as to come up
 	mostOutput  = 64 << 10               // bytes of a write, about: more would keep later words from going first
 	takenWithin = 250 * time.Millisecond // for a write at the most: a part goes no later than 0.3 s after its client
@@ -126,15 +127,21 @@
 
 // read reads until the connection ends; where a dialect has to say that calls may go, it has until ready for that.
 // Guards against: noise and lengths that do not fit, which leave a message unfinished. Should also cover: a replica that
-// stops in the midst of one. Could hurt: never, a piece that was lost on its way comes within what a lost connect may take.
+// stops in the midst of one, or goes on and on, while the answers behind it wait. Could hurt: never, a piece that was lost on its way comes within what a lost connect may take.
 func (k *link) read(conn net.Conn, ready time.Time) error {
 	shares := dialect.Of(k.kind).Shares
 	timed, looked := !ready.IsZero(), false
+	within, whole := max(frameWithin, k.c.fleet.connectWithin), time.Time{} // a piece; until when a message that has begun
 	conn.SetReadDeadline(ready)
 	for {
 		n, err := conn.Read(k.session.Room())
 		at := k.c.since(time.Now())
 		all, partly, bad := k.take(n)
+		if !partly || len(all) > 0 || whole.IsZero() {
+			whole = time.Now().Add(wholeTimes * within)
+		} else if n > 0 && bad == nil && time.Now().After(whole) && look(conn) != more { // else it may have waited here
+			bad = errors.New("a message that does not end")
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && bad == nil && (partly || !ready.IsZero()) {
 			if !looked { // it may have come while this process stood still
 				looked = true
@@ -162,7 +169,7 @@
 		case !ready.IsZero():
 			conn.SetReadDeadline(ready)
 		case partly:
-			conn.SetReadDeadline(time.Now().Add(max(frameWithin, k.c.fleet.connectWithin)))
+			conn.SetReadDeadline(time.Now().Add(within))
 		case timed:
 			conn.SetReadDeadline(time.Time{})
 		}
