Charge requests to the tenant that asks, and nothing to the first for all

Now the field is read (twice in a head: 400), its name is looked up among the settings' orgs, and who names none of them is charged to nobody. The test fails without the mend (tried: the other tenant, nobody and an unknown one are turned back).

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -39,6 +39,7 @@
 	module  *decide.Coordinator
 	tracks  map[string]decide.TrackIndex
 	zones   map[string]decide.ZoneIndex
+	tenants map[string]decide.TenantIndex
 	shards  int
 	longest map[string]time.Duration // by track: what a client may say that it waits
 	single  map[string]bool          // tracks whose parts may not run twice
@@ -89,6 +90,7 @@
 		stepped:    map[string]bool{},
 		agreed:     map[string]time.Duration{},
 		zones:      map[string]decide.ZoneIndex{},
+		tenants:    map[string]decide.TenantIndex{},
 		retrievals: map[decide.RequestID]*retrieval{},
 		byQuery:    map[string]*retrieval{},
 		parts:      map[decide.RequestID]*part{},
@@ -117,6 +119,9 @@
 	for n, name := range d.names("zones") {
 		c.zones[name] = decide.ZoneIndex(n)
 	}
+	for n, name := range d.names("orgs") {
+		c.tenants[name] = decide.TenantIndex(n)
+	}
 	var err, bad error
 	c.shards, err = d.whole("familyInfo.ranges", 0)
 	if c.shards == 0 {
--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -761,6 +761,41 @@
 	}
 }
 
+// What clients ask for is charged to the tenant that they name, and to no other. Guards against: tenants that are turned back
+// for what others asked beyond their shares.
+func TestRequestsAreChargedToTheTenantThatAsks(t *testing.T) {
+	cell := 0
+	d := deployment(t, protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell})
+	for name, value := range map[string]string{"orgs.count": "2", "orgs.1.name": "c", "orgs.0.quotaPerS": "1", "orgs.1.quotaPerS": "1"} {
+		d.settings[name] = value
+	}
+	c, err := New(d, log.New(io.Discard, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.fleet.stop()
+	asks := func(tenant string, parts int) (turnedBack bool) {
+		before := c.counts.TurnedBack
+		query := &protocol.Query{ID: "q", Track: "look", Tenant: tenant, Deadline: 6 * time.Second}
+		for n := range parts {
+			query.Parts = append(query.Parts, protocol.QueryPart{Shard: 2 * n, Weight: 1 / float64(parts)})
+		}
+		k := c.client(t)
+		c.turn(func() { c.arrives(k, query, c.now) }, func() { c.module.TurnEnds(c.now) })
+		c.turn(func() { c.clientLeaves(k) }, func() {})
+		c.turnWith()
+		return c.counts.TurnedBack > before
+	}
+	for range 2 { // its allowance
+		asks("a,b", 1)
+	}
+	for _, tenant := range []string{"a,b", "c", "", "nobody"} { // four parts at one replica take a third of the agreed time
+		if back := asks(tenant, 4); back != (tenant == "a,b") {
+			t.Errorf("%q is turned back: %t", tenant, back)
+		}
+	}
+}
+
 // with makes a coordinator of settings of which one is replaced.
 func with(t *testing.T, old, new string) error {
 	text := strings.Replace(nested, old, new, 1)
--- a/coordinator/questions.go
+++ b/coordinator/questions.go
@@ -82,7 +82,7 @@
 // takeSteps tells the module of a question and its first step.
 func (c *Coordinator) takeSteps(q *retrieval, track decide.TrackIndex, left, hint time.Duration) {
 	s := q.question.run.Next(c.now)
-	c.module.RetrievalArrives(c.now, q.id, q.number, track, 0, left, hint, max(1, len(s.Blocks)))
+	c.module.RetrievalArrives(c.now, q.id, q.number, track, c.tenantOf(q.query), left, hint, max(1, len(s.Blocks)))
 	c.module.StepsFollow(q.id, s.Do == phases.Summarize)
 	if s.Do != phases.Summarize && s.Do != phases.Ask { // nothing is wanted
 		c.stepSoon(q)
--- a/coordinator/retrievals.go
+++ b/coordinator/retrievals.go
@@ -122,7 +122,7 @@
 		return
 	}
 	c.held += len(query.Parts)
-	c.module.RetrievalArrives(c.now, q.id, number, track, 0, left, hint, len(query.Parts))
+	c.module.RetrievalArrives(c.now, q.id, number, track, c.tenantOf(query), left, hint, len(query.Parts))
 	for _, asked := range query.Parts {
 		p := &part{id: c.newID(), of: q, shard: asked.Shard, wire: protocol.PartID(query.ID, asked.Shard)}
 		q.parts, c.parts[p.id] = append(q.parts, p), p
@@ -130,6 +130,16 @@
 	}
 }
 
+// tenantOf is who asks for a query. One that the settings do not name has no share, and nothing is charged to another's.
+// Guards against: tenants that are turned back as what others ask for is charged to them. Could hurt: never, where nobody
+// is named there is no tenant.
+func (c *Coordinator) tenantOf(query *protocol.Query) decide.TenantIndex {
+	if t, named := c.tenants[inValues.Replace(query.Tenant)]; named {
+		return t
+	}
+	return decide.TenantIndex(len(c.tenants))
+}
+
 // overdue answers a retrieval that the module has left open until its cut-off. Guards against: a fault of the
 // module that would lose it. Could hurt: never, as its time is over.
 func (c *Coordinator) overdue(q *retrieval) {
--- a/internal/protocol/client.go
+++ b/internal/protocol/client.go
@@ -106,7 +106,7 @@
 }
 
 // once are the fields of a head that may not stand twice, as then it would mean several things.
-var once = []string{"content-length", "transfer-encoding", "host", "req-id", "req-deadline", "expect", "connection"}
+var once = []string{"content-length", "transfer-encoding", "host", "req-id", "req-deadline", "req-owner", "expect", "connection"}
 
 // soundHead looks at a head's own bytes, as http.ReadRequest mends or hides what leaves its end in doubt. Guards
 // against: requests hidden in the body of another. Should also cover: whatever a front before this reads
@@ -148,6 +148,7 @@
 type Query struct {
 	ID       string
 	Track    string
+	Tenant   string        // who asks; empty: nobody says
 	Deadline time.Duration // from when it was sent
 	Text     []byte
 	Parts    []QueryPart
@@ -170,7 +171,7 @@
 // take questions. An error is
 // a Fault.
 func ReadQuery(r *Request, longest map[string]time.Duration, questions map[string]bool) (*Query, error) {
-	q := &Query{ID: r.Header.Get("Req-Id")}
+	q := &Query{ID: r.Header.Get("Req-Id"), Tenant: r.Header.Get("Req-Owner")}
 	q.Track, _, _ = strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
 	if !usableID(q.ID) {
 		return nil, fault(http.StatusBadRequest, "Req-Id is missing or not of 1 to %d plain characters", mostID)
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -134,11 +134,12 @@
 		h := http.Header{}
 		h.Set("Req-Id", id)
 		h.Set("Req-Deadline", deadline)
+		h.Set("Req-Owner", "a, b")
 		return ReadQuery(&Request{Method: "POST", Path: "/checkout/x", Header: h, Body: []byte(body)},
 			map[string]time.Duration{"checkout": 10 * time.Second}, nil)
 	}
 	q, err := ask("9b1f", "0.480", good)
-	if err != nil || q.Track != "checkout" || q.Deadline != 480*time.Millisecond || string(q.Text) != "c4\né" ||
+	if err != nil || q.Track != "checkout" || q.Tenant != "a, b" || q.Deadline != 480*time.Millisecond || string(q.Text) != "c4\né" ||
 		len(q.Parts) != 2 || q.Parts[0] != (QueryPart{3, 0.5, 9 * time.Millisecond}) || q.Parts[1].Hint != 0 {
 		t.Errorf("%+v, %v", q, err)
 	}
