--- a/cmd/terntray/crossings_test.go
+++ b/cmd/terntray/crossings_test.go
@@ -387,6 +387,24 @@
 	c.expect(map[int]string{3: value(a, 3)})
 }
 
+// The same after a rest that is longer than a whole answer may take.
+func TestAnswerInPiecesAfterARestIsTaken(t *testing.T) {
+	a := newStandin(t, "s-a", 0, fulfil)
+	p, _ := deployed(t, strings.Replace(settings, `"connectTimeout":1000000`, `"connectTimeout":100000`, 1), a)
+	c := p.connect()
+	c.send(query("claim", "q1", 10, 3))
+	c.expect(map[int]string{3: value(a, 3)})
+	a.Does(func(s *standin.Replica, c standin.Call) {
+		text := framed(fmt.Sprintf("Y%s OK 7 -\n%s", c.ID, value(s, c.Shard)))
+		io.WriteString(c.Conn, text[:len(text)/2])
+		time.Sleep(20 * time.Millisecond)
+		io.WriteString(c.Conn, text[len(text)/2:])
+	})
+	time.Sleep(600 * time.Millisecond) // four times what a piece may take are 0.4 s
+	c.send(query("claim", "q2", 10, 3))
+	c.expect(map[int]string{3: value(a, 3)})
+}
+
 // An answer that goes on and on, a byte at a time, ends its connection within a bound: nothing waits behind it for a whole
 // cut-off. A part that may run again is answered elsewhere, one that may not is given up for good.
 func TestAnswerWithoutEndEndsItsConnectionSoon(t *testing.T) {
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -131,17 +131,19 @@
 func (k *link) read(conn net.Conn, ready time.Time) error {
 	shares := dialect.Of(k.kind).Shares
 	timed, looked := !ready.IsZero(), false
-	within, whole := max(frameWithin, k.c.fleet.connectWithin), time.Time{} // a piece; until when a message that has begun
+	within := max(frameWithin, k.c.fleet.connectWithin) // a piece
+	whole, began := time.Time{}, false                  // until when a message that has begun has to be
 	conn.SetReadDeadline(ready)
 	for {
 		n, err := conn.Read(k.session.Room())
 		at := k.c.since(time.Now())
 		all, partly, bad := k.take(n)
-		if !partly || len(all) > 0 || whole.IsZero() {
+		if !partly || !began || len(all) > 0 {
 			whole = time.Now().Add(wholeTimes * within)
 		} else if n > 0 && bad == nil && time.Now().After(whole) && look(conn) != more { // else it may have waited here
 			bad = errors.New("a message that does not end")
 		}
+		began = partly
 		if errors.Is(err, os.ErrDeadlineExceeded) && bad == nil && (partly || !ready.IsZero()) {
 			if !looked { // it may have come while this process stood still
 				looked = true
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -488,6 +488,9 @@
 		return
 	}
 	c.doubted = true
+	if len(c.out) > 0 && !c.going { // as where it ends by itself
+		p.staleAfter(c)
+	}
 	r := c.replica
 	var back []*Leg
 	for _, l := range slices.Clone(c.out) {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -168,6 +168,28 @@
 	}
 }
 
+// A rested connection that breaks at its next write teaches how long one may rest, also if that shows by the write.
+func TestWriteThatFailsAfterARestShortensRests(t *testing.T) {
+	f := newFarm(t, Limits{Multiplex: 8, Conns: 9, Idle: time.Minute})
+	f.listed(dialect.Frames)
+	a, one := f.send("q.1", false)
+	f.p.Up(f.now, one)
+	f.written(a)
+	f.p.Answered(f.now, one, 0, "q.1", f.now)
+	f.later(10 * time.Second)
+	b, again := f.send("q.2", false)
+	if again != one {
+		t.Fatal("it goes elsewhere")
+	}
+	f.p.Doubt(f.now, one)
+	if f.p.idle > 5*time.Second || f.p.stale <= f.now {
+		t.Errorf("connections may rest for %v", f.p.idle)
+	}
+	if b.conn == nil || b.conn.id == one {
+		t.Error("what was not begun stays")
+	}
+}
+
 // A connection that takes nothing is left at once by what was not begun; it ends at once where nothing on it can have run.
 func TestConnectionThatTakesNothingIsLeftAtOnce(t *testing.T) {
 	for _, d := range []dialect.Name{dialect.Frames, dialect.HTTP2} {
