--- a/coordinator/crossings_test.go
+++ b/coordinator/crossings_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log"
+	"maps"
 	"net"
 	"strings"
 	"syscall"
@@ -678,18 +679,24 @@
 	}
 }
 
+// set makes a coordinator before one replica that nobody can reach, with some settings replaced.
+func set(t *testing.T, settings map[string]string) *Coordinator {
+	cell := 0
+	d := deployment(t, protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell})
+	maps.Copy(d.settings, settings)
+	c, err := New(d, log.New(io.Discard, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.fleet.stop)
+	return c
+}
+
 // A part that was being written when its retrieval ended goes on no other connection should that one break, also where
 // nothing may be called off. Guards against: parts sent after the final answer, or for a client that has left.
 func TestPartBegunWhenItsRetrievalEndedIsNotBegunAnew(t *testing.T) {
 	for _, leaves := range []bool{true, false} {
-		cell := 0
-		d := deployment(t, protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell})
-		d.settings["bounds.mayCancel"] = "false"
-		c, err := New(d, log.New(io.Discard, "", 0))
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.fleet.stop()
+		c := set(t, map[string]string{"bounds.mayCancel": "false"})
 		k := c.client(t)
 		query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
 		c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
@@ -718,14 +725,7 @@
 // The same for the other leg of a part that is in, be it begun or not.
 func TestOtherLegOfAPartThatIsInGoesNowhere(t *testing.T) {
 	for _, begun := range []bool{true, false} {
-		cell := 0
-		d := deployment(t, protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell})
-		d.settings["bounds.mayCancel"] = "false"
-		c, err := New(d, log.New(io.Discard, "", 0))
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.fleet.stop()
+		c := set(t, map[string]string{"bounds.mayCancel": "false"})
 		k := c.client(t)
 		query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 0.5}, {Shard: 2, Weight: 0.5}}}
 		c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
@@ -764,16 +764,7 @@
 // What clients ask for is charged to the tenant that they name, and to no other. Guards against: tenants that are turned back
 // for what others asked beyond their shares.
 func TestRequestsAreChargedToTheTenantThatAsks(t *testing.T) {
-	cell := 0
-	d := deployment(t, protocol.Target{UID: "s-a", Endpoint: "127.0.0.1:1", State: protocol.Ready, Cell: &cell})
-	for name, value := range map[string]string{"orgs.count": "2", "orgs.1.name": "c", "orgs.0.quotaPerS": "1", "orgs.1.quotaPerS": "1"} {
-		d.settings[name] = value
-	}
-	c, err := New(d, log.New(io.Discard, "", 0))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.fleet.stop()
+	c := set(t, map[string]string{"orgs.count": "2", "orgs.1.name": "c", "orgs.0.quotaPerS": "1", "orgs.1.quotaPerS": "1"})
 	asks := func(tenant string, parts int) (turnedBack bool) {
 		before := c.counts.TurnedBack
 		query := &protocol.Query{ID: "q", Track: "look", Tenant: tenant, Deadline: 6 * time.Second}
