Force clients' going behind a connection that takes nothing, with the whole program

docs/endings.md had this crossing in parts only. A stand-in can now read nothing for a while (ReadsNothing), before machines that hold little (Narrow: a small window and segments, by which Linux measures the sender's buffer). Far more is written than that; a request behind it, its client gone six ways; the replica reads on at once, or after the write was given up. Judged by the replica's ledger.

Seen to fail: with frames.Session.Withdraw taking nothing back, all six ways ('left.21 was sent on'). Failed tries of the test: with many descriptors the request went out on a connection of its own, whose buffer had room; the usual window holds 2 MB and more, which caps do not let out; with one holder the other client's request was scrapped once the write had been given up, so that way asks anew.

The tests of crossings and of the program are parted by what they cross: clients, their leaving, lists, replicas, legs, settings.

--- /dev/null
+++ b/cmd/terntray/list_test.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"terntray/internal/standin"
+)
+
+func TestDrainToldByAChangeIsKept(t *testing.T) {
+	a, b := newStandin(t, "s-a", 0, fulfil), newStandin(t, "s-b", 0, fulfil)
+	p, r := deployed(t, settings, a, b)
+	r.Change(a, "draining")
+	until(t, "the change is told", func() bool { return strings.Contains(p.logged(), "rev=6 ") })
+	c := p.connect()
+	for n := range 6 {
+		c.send(query("look", fmt.Sprint("q", n), 10, n))
+		c.expect(map[int]string{n: value(b, n)})
+	}
+	if len(a.Seen()) > 0 {
+		t.Error("parts were sent to a draining replica")
+	}
+	r.Change(b, "gone")
+	r.Change(a, "ready")
+	until(t, "the next change is told", func() bool { return strings.Contains(p.logged(), "rev=8 ") })
+	c.send(query("look", "r", 10, 1))
+	c.expect(map[int]string{1: value(a, 1)})
+}
+
+func TestReplicaThatMovesIsReachedAtItsNewAddress(t *testing.T) {
+	a, moved := newStandin(t, "s-a", 0, fulfil), newStandin(t, "s-a", 0, fulfil)
+	p, r := deployed(t, settings, a)
+	c := p.connect()
+	c.send(query("look", "q1", 10, 1))
+	c.expect(map[int]string{1: value(a, 1)})
+	r.Mu.Lock()
+	r.All = []*standin.Replica{moved}
+	r.Mu.Unlock()
+	r.Change(moved, "ready")
+	until(t, "the change is told", func() bool { return strings.Contains(p.logged(), "rev=6 ") })
+	c.send(query("look", "q2", 10, 2))
+	c.expect(map[int]string{2: value(moved, 2)})
+	if len(a.Seen()) != 1 || len(moved.Seen()) != 1 {
+		t.Errorf("%d parts at the old address, %d at the new one", len(a.Seen()), len(moved.Seen()))
+	}
+}
+
+// Discovery that breaks off is asked again, and a list that begins anew at a lower revision is taken, whether
+// changes come unasked or to those who ask.
+func TestDiscoveryThatStartsAnewIsFollowed(t *testing.T) {
+	for _, mode := range []string{"automatic", "subscribe"} {
+		a, b := newStandin(t, "s-a", 0, fulfil), newStandin(t, "s-b", 0, fulfil)
+		p, r := deployed(t, strings.Replace(settings, `"automatic"`, strconv.Quote(mode), 1), a)
+		at := r.Listener.Addr().String()
+		r.Server.Close()
+		until(t, "the failure is noticed", func() bool { return p.counters()["list_failures"] > 0 })
+		again := newRoster(t, at, b)
+		again.Mu.Lock()
+		again.Rev = 2
+		again.Mu.Unlock()
+		until(t, "a watch stands again", func() bool { return again.Watched() > 0 })
+		c := p.connect()
+		c.send(query("look", "q1", 10, 3))
+		c.expect(map[int]string{3: value(b, 3)})
+	}
+}
+
+// SIGHUP moves the list to the address that the file then names, whatever the environment said at the start. A file
+// that cannot be used changes nothing and is read again; nobody's connection is touched.
+func TestReloadFollowsTheListAtItsNewAddress(t *testing.T) {
+	for _, mode := range []string{"automatic", "subscribe"} {
+		a, b := newStandin(t, "s-a", 0, fulfil), newStandin(t, "s-b", 0, fulfil)
+		old, next := newRoster(t, "127.0.0.1:0", a), newRoster(t, "127.0.0.1:0", b)
+		next.Rev = 2
+		set := strings.Replace(settings, `"automatic"`, strconv.Quote(mode), 1)
+		env := configure(t, old.Listener.Addr().String(), 1024, set, a)
+		p := start(t, append(env, "ROUTER_DISCOVERY="+old.Listener.Addr().String()))
+		until(t, "a watch stands", func() bool { return old.Watched() > 0 })
+		c := p.connect()
+		c.send(query("look", "q1", 10, 3))
+		c.expect(map[int]string{3: value(a, 3)})
+		file := strings.TrimPrefix(env[0], "ROUTER_CONFIG=")
+		sound, _ := os.ReadFile(file)
+		os.WriteFile(file, sound[:len(sound)/2], 0o600)
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		until(t, "the file is found bad", func() bool { return strings.Contains(p.logged(), "event=reload_failed") })
+		c.send(query("look", "q2", 10, 3))
+		c.expect(map[int]string{3: value(a, 3)})
+		moved := strings.Replace(string(sound), old.Listener.Addr().String(), next.Listener.Addr().String(), 1)
+		os.WriteFile(file, []byte(moved), 0o600)
+		until(t, "the watch has moved", func() bool { return next.Watched() > 0 })
+		old.Server.Close()
+		for n := range 3 { // with the same address no watch begins anew
+			p.cmd.Process.Signal(syscall.SIGHUP)
+			until(t, "it is read again", func() bool { return p.counters()["reloads"] == n+2 })
+		}
+		c.send(query("look", "q3", 10, 3))
+		c.expect(map[int]string{3: value(b, 3)})
+		if n := p.counters(); n["list_failures"] > 0 || next.Watched() != 1 {
+			t.Errorf("counters %v, %d watches", n, next.Watched())
+		}
+	}
+}
--- a/cmd/terntray/standins_test.go
+++ b/cmd/terntray/standins_test.go
@@ -202,11 +202,16 @@
 
 // query makes a request for some shards.
 func query(track, id string, within float64, shards ...int) string {
+	return queryOf("of "+id, track, id, within, shards...)
+}
+
+// queryOf makes one whose parts carry a text.
+func queryOf(text, track, id string, within float64, shards ...int) string {
 	var segments []string
 	for _, s := range shards {
 		segments = append(segments, fmt.Sprintf(`{"segment":%d,"boost":%v}`, s, 1/float64(len(shards))))
 	}
-	body := fmt.Sprintf(`{"segments":[%s],"text":"of %s"}`, strings.Join(segments, ","), id)
+	body := fmt.Sprintf(`{"segments":[%s],"text":%q}`, strings.Join(segments, ","), text)
 	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: b\r\nReq-Id: %s\r\nReq-Deadline: %.3f\r\nContent-Length: %d\r\n\r\n%s",
 		track, id, within, len(body), body)
 }
--- /dev/null
+++ b/coordinator/crossings_legs_test.go
@@ -0,0 +1,171 @@
+package coordinator
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"terntray/decide"
+	"terntray/internal/dialect"
+	"terntray/internal/protocol"
+)
+
+// After a panic in a turn the legs that were out hold no places.
+func TestLegsOfABrokenModuleHoldNoPlaces(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	cell := 0
+	c := made(t, protocol.Target{UID: "s-a", Endpoint: l.Addr().String(), State: protocol.Ready, Cell: &cell})
+	defer c.fleet.stop()
+	k := c.client(t)
+	query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
+	c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
+	c.turn(<-c.inbox, c.endTurn) // the connection is up
+	if len(c.fleet.legs) != 1 {
+		t.Fatalf("%d legs are out", len(c.fleet.legs))
+	}
+	c.broken("as if")
+	if c.turnWith(); len(c.fleet.legs)+len(c.parts)+len(c.retrievals) > 0 {
+		t.Errorf("%d legs, %d parts, %d retrievals are left", len(c.fleet.legs), len(c.parts), len(c.retrievals))
+	}
+}
+
+// A request at which a turn breaks before anything of it is open gets its answer.
+func TestRequestAtWhichATurnBreaksIsAnswered(t *testing.T) {
+	c := fronted(t)
+	k := c.client(t)
+	query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}},
+		Question: &protocol.Question{}} // which this track does not take, so that nothing is ready for it
+	cause := guard(func() { c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn) })
+	if cause == "" {
+		t.Fatal("nothing breaks")
+	}
+	c.broken(cause)
+	if len(k.answers) != 1 || !strings.Contains(string((<-k.answers).bytes), " 500 ") {
+		t.Error("it is not answered")
+	}
+	query.Question = nil
+	c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
+	c.broken("as if, later")
+	if len(k.answers) != 1 {
+		t.Errorf("the next has %d answers", len(k.answers))
+	}
+}
+
+// The same for legs whose end was to be told in the turn that broke, behind what broke it.
+func TestWhatABrokenTurnWasToTellIsTold(t *testing.T) {
+	c := fronted(t)
+	k := c.client(t)
+	query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
+	c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
+	for _, l := range c.fleet.legs {
+		c.next = append(c.next, func() { panic("as if") })
+		c.giveUp(l, decide.TimedOut)
+	}
+	if cause := guard(c.turnWith); cause == "" || len(c.fleet.legs) != 1 {
+		t.Fatalf("it breaks by %q with %d legs", cause, len(c.fleet.legs))
+	}
+	c.broken("as if")
+	if c.turnWith(); len(c.fleet.legs)+len(c.parts)+len(c.retrievals) > 0 {
+		t.Errorf("%d legs, %d parts, %d retrievals are left", len(c.fleet.legs), len(c.parts), len(c.retrievals))
+	}
+}
+
+// A write that the far side does not take ends with its connection before a client of it can be gone for 0.3 s, however
+// long connections may take to come up. What was not begun by then can be taken back.
+func TestWriteThatIsNotTakenEndsSoon(t *testing.T) {
+	c := fronted(t)
+	c.fleet.connectWithin = 10 * time.Second
+	near, far := pair(t)
+	near.SetWriteBuffer(4 << 10)
+	far.SetReadBuffer(4 << 10)
+	k := newLink(c, 1, c.fleet.named("s-a"), "127.0.0.1:1", dialect.Frames)
+	var calls []*dialect.Call
+	for n := range 60 {
+		calls = append(calls, &dialect.Call{Leg: uint64(n + 1), Group: uint64(n + 1), Wire: protocol.PartID("q", n), Text: make([]byte, 60_000)})
+		k.session.Queue(calls[n])
+	}
+	began := time.Now()
+	k.write(near, near)
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("it is written to for %v", took)
+	}
+	last := calls[len(calls)-1]
+	if last.Stage != dialect.Waiting || !k.session.Withdraw(last) {
+		t.Errorf("the last of what waits is at stage %v", last.Stage)
+	}
+}
+
+// A part that was being written when its retrieval ended goes on no other connection should that one break, also where
+// nothing may be called off. Guards against: parts sent after the final answer, or for a client that has left.
+func TestPartBegunWhenItsRetrievalEndedIsNotBegunAnew(t *testing.T) {
+	for _, leaves := range []bool{true, false} {
+		c := set(t, map[string]string{"bounds.mayCancel": "false"})
+		k := c.client(t)
+		query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 1}}}
+		c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
+		ended := <-c.inbox // of its connection, which is as good as one that was up and broke
+		q := c.byQuery["q"]
+		for id := range c.fleet.links {
+			c.fleet.pool.Up(c.now, id)
+		}
+		l := q.parts[0].legs[0]
+		l.call.Stage = dialect.Begun
+		if leaves {
+			c.turn(func() { c.clientLeaves(k) }, c.endTurn)
+		} else {
+			c.turn(func() { c.Scrap(q.id) }, c.endTurn)
+		}
+		if c.turn(ended, c.endTurn); len(c.fleet.links) > 0 {
+			t.Errorf("its client leaves %t: it goes on another connection", leaves)
+		}
+		c.turnWith()
+		if len(c.fleet.legs)+len(c.parts) > 0 {
+			t.Errorf("its client leaves %t: %d legs, %d parts are left", leaves, len(c.fleet.legs), len(c.parts))
+		}
+	}
+}
+
+// The same for the other leg of a part that is in, be it begun or not.
+func TestOtherLegOfAPartThatIsInGoesNowhere(t *testing.T) {
+	for _, begun := range []bool{true, false} {
+		c := set(t, map[string]string{"bounds.mayCancel": "false"})
+		k := c.client(t)
+		query := &protocol.Query{ID: "q", Track: "look", Deadline: time.Minute, Parts: []protocol.QueryPart{{Shard: 0, Weight: 0.5}, {Shard: 2, Weight: 0.5}}}
+		c.turn(func() { c.arrives(k, query, c.now) }, c.endTurn)
+		p := c.byQuery["q"].parts[0]
+		<-c.inbox // the end of its connection; they are as good as ones that stand
+		c.Send(p.id, p.legs[0].to, time.Second)
+		<-c.inbox
+		first, other := p.legs[0], p.legs[1]
+		if begun {
+			other.call.Stage = dialect.Begun
+		}
+		var on, beside *link
+		for id, l := range c.fleet.links {
+			c.fleet.pool.Up(c.now, id)
+			if on == nil || id < on.id {
+				on = l
+			}
+			if beside == nil || id > beside.id { // a replica gets two legs of one part on two of them
+				beside = l
+			}
+		}
+		c.turn(func() {
+			c.replied(on, &dialect.Event{Kind: dialect.Answered, Wire: first.call.Wire, End: dialect.OK, Value: []byte("v"), Busy: -1}, c.now)
+		}, func() {})
+		if !p.in {
+			t.Fatal("the part is not in")
+		}
+		before := len(c.fleet.links)
+		c.turn(func() { c.linkEnded(beside, io.EOF, c.now) }, func() {})
+		if c.turn(func() {}, func() {}); !other.over || len(c.fleet.links) > before-1 {
+			t.Errorf("begun %t: over %t, %d connections after %d", begun, other.over, len(c.fleet.links), before)
+		}
+	}
+}
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"crypto/tls"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -53,6 +55,7 @@
 	limit   int // streams on a connection; below 0: any number
 	most    int // that were open on one
 
+	reading      sync.RWMutex // held while it reads nothing
 	in           atomic.Int64 // bytes that came
 	conns        atomic.Int64 // connections that came
 	deaf, stalls atomic.Bool
@@ -148,7 +151,7 @@
 	if s.TLS != nil {
 		conn = tls.Server(conn, s.TLS)
 	}
-	in := bufio.NewReader(counted{conn, &s.in})
+	in := bufio.NewReader(counted{conn, s})
 	if first, err := in.Peek(4); err == nil && string(first) == preface[:4] {
 		if _, err := io.ReadFull(in, make([]byte, len(preface))); err == nil {
 			s.serveHTTP2(conn, in)
@@ -259,17 +262,38 @@
 	s.Conns = nil
 }
 
-// counted counts the bytes that are read.
+// counted counts the bytes that are read, and reads none while its replica does not.
 type counted struct {
 	net.Conn
-	in *atomic.Int64
+	by *Replica
 }
 
 func (c counted) Read(b []byte) (int, error) {
+	c.by.reading.RLock()
+	c.by.reading.RUnlock()
 	n, err := c.Conn.Read(b)
-	c.in.Add(int64(n))
+	c.by.in.Add(int64(n))
 	return n, err
 }
 
-// Traffic is how many bytes and connections have come so far.
-func (s *Replica) Traffic() (bytes, conns int) { return int(s.in.Load()), int(s.conns.Load()) }
+// ReadsNothing has it read no more, but for what its reads that wait already take, until goOn is called. What its
+// connections hold meanwhile is little: they are to be made after Narrow.
+func (s *Replica) ReadsNothing() (goOn func()) {
+	s.reading.Lock()
+	return s.reading.Unlock
+}
+
+// Narrow has the machines hold few bytes for connections that are made from now on: a small window, and small segments,
+// by which the other end's buffer is measured.
+func (s *Replica) Narrow() error {
+	raw, err := s.Listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	var window, segment error
+	err = raw.Control(func(fd uintptr) {
+		window = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
+		segment = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 536)
+	})
+	return errors.Join(err, window, segment)
+}
