--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -297,3 +297,6 @@
 	})
 	return errors.Join(err, window, segment)
 }
+
+// Traffic is how many bytes and connections have come so far.
+func (s *Replica) Traffic() (bytes, conns int) { return int(s.in.Load()), int(s.conns.Load()) }
