--- a/decide/decide.go
+++ b/decide/decide.go
@@ -903,13 +903,13 @@
 	if t.shedAt == 0 || c.now > t.shedAt+shedQuiet {
 		t.trickle, t.letGap, t.letAt = 1, scale(letFirst, c.letTimes(q)), c.now+scale(letFirst, c.letTimes(q))
 	}
-	t.shedAt, bound = c.now, scale(bound, t.longer)                    // tightening fades by itself
-	doubt := min(bound, t.endedAt+scale(letMost, c.letTimes(q))-c.now) // the more, the longer nothing is learned
-	waits := func(r replica) bool {                                    // no trial otherwise
+	t.shedAt = c.now
+	bound = scale(bound, t.longer)  // tightening fades by itself
+	waits := func(r replica) bool { // no trial otherwise
 		return c.aside[r][t.index] && c.now >= c.trialAt[r]+scale(trialMost, c.tempo)
 	}
 	over := slices.ContainsFunc(mine, func(p *part) bool {
-		return p.at != nowhere && c.finish(p.at, 0) > doubt || slices.ContainsFunc(c.holders(p.shard), waits)
+		return p.at != nowhere && c.finish(p.at, 0) > bound || slices.ContainsFunc(c.holders(p.shard), waits)
 	})
 	q.let = over && c.now >= t.letAt && !slices.ContainsFunc(mine, func(p *part) bool {
 		return p.at != nowhere && float64(len(c.outs[p.at])) >= t.trickle && c.finish(p.at, 0) > bound
--- a/decide/waysback_test.go
+++ b/decide/waysback_test.go
@@ -26,39 +26,6 @@
 	}
 }
 
-// The same where the belief alone would let them in, and only with the tightening after a jam turns all back: once
-// nothing has been learned for a while it is not waited for that to fade, which takes many seconds.
-func TestTightenedBeliefGivesWayToATrickle(t *testing.T) {
-	under := func(unit time.Duration, longer float64) *model {
-		m := newModel(t, 0)
-		m.c.tracks[0].unit, m.c.tracks[0].longer = unit, longer
-		return m
-	}
-	ask := func(m *model) *modelRetrieval {
-		q := m.ask(0, 2, 3*time.Second)
-		m.turn()
-		return q
-	}
-	unit := 10 * ms
-	for !ask(under(unit*5/4, 1)).ended {
-		unit += 10 * ms
-	}
-	m, served := under(unit, mostLonger), 0
-	if !ask(m).ended {
-		t.Fatal("it is let in at once")
-	}
-	for range 200 { // 8 s
-		q := ask(m)
-		m.answer(40 * ms)
-		if q.ended && q.parts[0].in {
-			served++
-		}
-	}
-	if served < 120 {
-		t.Errorf("%d of 200 fulfilled while replicas answer in 40 ms", served)
-	}
-}
-
 // In a jam that is real the trickle stays at one at a time, and the waits between grow.
 func TestTrickleIsThinWhileTheJamIsReal(t *testing.T) {
 	m := newModel(t, 0)
