--- a/coordinator/crossings_front_test.go
+++ b/coordinator/crossings_front_test.go
@@ -78,16 +78,28 @@
 	c.front.listener = &failing{l, 5}
 	go c.front.accept(c)
 	defer l.Close()
+	far := asksUp(t, l)
+	isUp(t, far)
+}
+
+// asksUp connects to a listener and asks whether the service is up.
+func asksUp(t *testing.T, l net.Listener) net.Conn {
 	far, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer far.Close()
+	t.Cleanup(func() { far.Close() })
 	far.SetDeadline(time.Now().Add(20 * time.Second))
 	io.WriteString(far, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+	return far
+}
+
+// isUp checks that the answer says so.
+func isUp(t *testing.T, far net.Conn) {
+	t.Helper()
 	got := make([]byte, 12)
 	if _, err := io.ReadFull(far, got); err != nil || string(got) != "HTTP/1.1 200" {
-		t.Errorf("%q, %v", got, err)
+		t.Fatalf("%q, %v", got, err)
 	}
 }
 
@@ -99,20 +111,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	far, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer far.Close()
-	far.SetDeadline(time.Now().Add(20 * time.Second))
-	io.WriteString(far, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+	far := asksUp(t, l)
 	l.(*net.TCPListener).SetDeadline(time.Now().Add(-time.Second))
 	c.front.listener = l
 	go c.front.accept(c)
-	got := make([]byte, 12)
-	if _, err := io.ReadFull(far, got); err != nil || string(got) != "HTTP/1.1 200" {
-		t.Errorf("%q, %v", got, err)
-	}
+	isUp(t, far)
 }
 
 // The same where no slot is free until the listener's last look is over: the one before it holds the only one.
@@ -126,24 +129,14 @@
 	}
 	var far [2]net.Conn
 	for n := range far {
-		if far[n], err = net.Dial("tcp", l.Addr().String()); err != nil {
-			t.Fatal(err)
-		}
-		defer far[n].Close()
-		far[n].SetDeadline(time.Now().Add(20 * time.Second))
-		io.WriteString(far[n], "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+		far[n] = asksUp(t, l)
 	}
 	c.leftAt.Store(time.Now().Add(-goingOn).UnixNano())
 	l.(*net.TCPListener).SetDeadline(time.Now().Add(-time.Second))
 	c.front.listener = l
 	go c.front.accept(c)
-	got := make([]byte, 12)
-	if _, err := io.ReadFull(far[0], got); err != nil || string(got) != "HTTP/1.1 200" {
-		t.Fatalf("the first: %q, %v", got, err)
-	}
+	isUp(t, far[0])
 	time.Sleep(2 * sweepUp) // it keeps its slot until the last look is over
 	far[0].Close()
-	if _, err := io.ReadFull(far[1], got); err != nil || string(got) != "HTTP/1.1 200" {
-		t.Errorf("%q, %v", got, err)
-	}
+	isUp(t, far[1])
 }
