Force an answer that is read slowly, or never, while the program is told to end

docs/endings.md had no test for this crossing, which the issue names. The client's machine holds little (Narrowed, parted from Narrow), the answer is 480 KB; SIGTERM comes while it is being written. Read slowly it arrives whole, unread it ends with the time that an answer has. No fault found.

--- a/cmd/terntray/main_test.go
+++ b/cmd/terntray/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"os/exec"
@@ -99,6 +100,43 @@
 	}
 }
 
+// An answer that its client takes slowly while the program is told to end arrives whole; one that is never read holds the end up
+// for no longer than an answer may take to be read.
+func TestAnswerThatIsReadSlowlyAcrossTheEndArrivesWhole(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		a := newStandin(t, "s-a", 0, func(s *standin.Replica, c standin.Call) { s.Reply(c, "OK", strings.Repeat("v", 60_000)) })
+		p, _ := deployed(t, settings, a)
+		narrow := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error { return standin.Narrowed(raw) }}
+		conn, err := narrow.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(2 * inTime))
+		c := &client{t, conn, bufio.NewReader(conn)}
+		shards := make([]int, 8) // far more than the machines hold for a connection
+		for n := range shards {
+			shards[n] = n
+		}
+		c.send(query("look", "q", 10, shards...))
+		until(t, "the answer is made", func() bool { return p.counters()["fulfilled"] == 1 })
+		p.cmd.Process.Signal(syscall.SIGTERM)
+		until(t, "it is told to end", func() bool { return strings.Contains(p.logged(), "event=leaving") })
+		if !reads {
+			p.ends(t)
+			continue
+		}
+		for range 5 { // a first bit of it, then the rest after the listener's end
+			c.in.Peek(c.in.Buffered() + 1)
+			time.Sleep(200 * time.Millisecond)
+		}
+		if r := c.receive(); r.status != 200 || len(r.values()) != len(shards) {
+			t.Errorf("answered %d with %d values", r.status, len(r.values()))
+		}
+		p.ends(t)
+	}
+}
+
 // Bytes that come behind a last request must not have its answer cut off by a reset.
 func TestLastAnswerArrivesWholeWhateverIsSentBehind(t *testing.T) {
 	a := newStandin(t, "s-a", 0, fulfil)
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -283,15 +283,20 @@
 	return s.reading.Unlock
 }
 
-// Narrow has the machines hold few bytes for connections that are made from now on: a small window, and small segments,
-// by which the other end's buffer is measured.
+// Narrow has the machines hold few bytes for connections that are made from now on.
 func (s *Replica) Narrow() error {
 	raw, err := s.Listener.(*net.TCPListener).SyscallConn()
 	if err != nil {
 		return err
 	}
+	return Narrowed(raw)
+}
+
+// Narrowed has the machines hold few bytes on a socket that is to be connected: a small window, and small segments, by which
+// the other end's buffer is measured.
+func Narrowed(raw syscall.RawConn) error {
 	var window, segment error
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		window = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
 		segment = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 536)
 	})
