Withhold a reply until what follows shows that its length is not too small

Cause: a frame whose length is too small reads as a good one with a shorter value, and ReplyReader.Next handed it on before it was known what followed; the check by value sizes was off for the first 64 values, off for good once sizes had varied, and blind to fewer than four bytes. HTTP/2 without content-length had no check at all.

Change: a reply is returned once another frame starts behind it; anything else behind it makes it malformed, also an ERROR or REJECTED; an OK that nothing follows waits 50 ms or for the orderly end of its connection. A value of the size that the last 64 had needs neither, as a cut one would be shorter: it is served as before, also with noise behind it.

TestManySilentConnectionsDoNotLockOutClients takes its values first, so that its clients do not rest longer than it means them to.

--- a/cmd/terntray/clients_test.go
+++ b/cmd/terntray/clients_test.go
@@ -221,6 +221,7 @@
 	replica := newReplica(t, "s-a", 0, succeed)
 	discovery := newDiscovery(t, "127.0.0.1:0", replica)
 	program := start(t, configure(t, discovery.Listener.Addr().String(), 256, settings, replica))
+	receiveValues(program.connect(), replica, enoughValues) // from now on no reply is withheld
 	var usual []*clientConn
 	for n := range 20 {
 		usual = append(usual, program.connect())
--- a/cmd/terntray/replicas_test.go
+++ b/cmd/terntray/replicas_test.go
@@ -4,7 +4,9 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -105,28 +107,109 @@
 	return string(binary.BigEndian.AppendUint32(nil, uint32(len(rest)))) + rest
 }
 
-// Bytes that follow a valid reply are not taken as a reply, and do not end attempts that are sent later.
+// Bytes that follow a valid reply are not taken as a reply, and do not end attempts that are sent later. That noise is
+// not the rest of a value is known once all values before had the same size.
 func TestBytesAfterAReplyAreDropped(t *testing.T) {
 	for name, extra := range map[string]string{"duplicate": "", "noise": "tL\xdc\x7f\xe8\r\n"} {
-		replica := newReplica(t, "s-a", 0, func(replica *fake.Replica, call fake.Call) {
+		replica := newReplica(t, "s-a", 0, succeed)
+		program, _ := startDeployment(t, settings, replica)
+		client := program.connect()
+		if name == "noise" {
+			receiveValues(client, replica, enoughValues)
+		}
+		before := program.counters()["legs"]
+		replica.SetBehavior(func(replica *fake.Replica, call fake.Call) {
 			succeed(replica, call)
 			if io.WriteString(call.Conn, extra); extra == "" {
 				succeed(replica, call)
 			}
 		})
-		program, _ := startDeployment(t, settings, replica)
-		client := program.connect()
 		for n := range 20 {
 			client.send(query("claim", fmt.Sprint("q", n), 10, 3))
 			client.expect(map[int]string{3: value(replica, 3)})
 			time.Sleep(5 * time.Millisecond) // for the extra bytes to arrive; an attempt sent before them may be lost
 		}
-		if counters := program.counters(); counters["legs"] != 20 || counters["legs_unreachable"] > 0 {
+		if counters := program.counters(); counters["legs"] != before+20 || counters["legs_unreachable"] > 0 {
 			t.Errorf("%s: counters %v", name, counters)
 		}
 	}
 }
 
+// enoughValues is a number of values of one size after which that size counts as usual.
+const enoughValues = 70
+
+// receiveValues sends queries until count values were received, all of the same size.
+func receiveValues(client *clientConn, replica *fake.Replica, count int) {
+	client.t.Helper()
+	values := map[int]string{}
+	for shard := range 10 {
+		values[shard] = value(replica, shard)
+	}
+	for n := 0; n*len(values) < count; n++ {
+		client.send(query("look", fmt.Sprint("warm", n), 10, slices.Sorted(maps.Keys(values))...))
+		client.expect(values)
+	}
+}
+
+// Guards against clients being served a value that is cut short: the length of a reply is too small, so that the reply
+// looks like a good one with a shorter value. It may be the process's first reply or follow values of one or several
+// sizes, and the rest of the value may arrive with it or a moment later.
+func TestValueCutShortByItsLengthIsNotServed(t *testing.T) {
+	for _, model := range []string{"m", "h2"} {
+		for _, before := range []string{"none", "one size", "several sizes"} {
+			for _, missing := range []int{1, 3, 8} {
+				for _, delay := range []time.Duration{0, 10 * time.Millisecond} {
+					name := fmt.Sprintf("%s, values before: %s, %d missing after %v", model, before, missing, delay)
+					t.Run(name, func(t *testing.T) {
+						t.Parallel()
+						testShortLength(t, model, before, missing, delay)
+					})
+				}
+			}
+		}
+	}
+}
+
+func testShortLength(t *testing.T, model, before string, missing int, delay time.Duration) {
+	replica := newReplica(t, "s-a", 0, succeed)
+	replica.Model = model
+	program, _ := startDeploymentWith(t, settings, allHTTP2, 1024, replica)
+	client := program.connect()
+	if before != "none" {
+		receiveValues(client, replica, enoughValues)
+	}
+	if before == "several sizes" {
+		client.send(query("look", "long", 10, 23))
+		client.expect(map[int]string{23: value(replica, 23)})
+	}
+	replica.SetBehavior(fake.ShortLength(missing, delay))
+	client.send(query("claim", "q1", 10, 3))
+	if answer := client.receive(); answer.status != 500 {
+		t.Errorf("non-idempotent: status %d %s", answer.status, answer.body)
+	}
+	replica.SetBehavior(func(replica *fake.Replica, call fake.Call) {
+		replica.SetBehavior(succeed)
+		fake.ShortLength(missing, delay)(replica, call)
+	})
+	client.send(query("look", "q2", 10, 4))
+	client.expect(map[int]string{4: value(replica, 4)})
+	if counters := program.counters(); counters["spoilt"] != 2 {
+		t.Errorf("counters %v", counters)
+	}
+}
+
+// A reply that nothing follows before the orderly end of its connection is complete: it is served at once.
+func TestReplyBeforeTheEndOfItsConnectionIsServed(t *testing.T) {
+	replica := newReplica(t, "s-a", 0, func(replica *fake.Replica, call fake.Call) {
+		succeed(replica, call)
+		call.Conn.Close()
+	})
+	program, _ := startDeployment(t, settings, replica)
+	client := program.connect()
+	client.send(query("claim", "q1", 10, 3))
+	client.expect(map[int]string{3: value(replica, 3)})
+}
+
 // Non-idempotent subqueries share no connection, so that a malformed reply to another one cannot lose their replies.
 func TestNonIdempotentSubqueriesShareNoConnection(t *testing.T) {
 	replica := newReplica(t, "s-a", 0, silent)
--- a/internal/fake/behavior.go
+++ b/internal/fake/behavior.go
@@ -14,8 +14,10 @@
 type Behavior = func(*Replica, Call)
 
 // Succeed replies OK, with a value that names the replica and the shard.
-func Succeed(replica *Replica, call Call) {
-	replica.Reply(call, "OK", "v<"+replica.UID+"."+strconv.Itoa(call.Shard)+">")
+func Succeed(replica *Replica, call Call) { replica.Reply(call, "OK", valueOf(replica, call)) }
+
+func valueOf(replica *Replica, call Call) string {
+	return "v<" + replica.UID + "." + strconv.Itoa(call.Shard) + ">"
 }
 
 // Fail replies ERROR.
--- a/internal/fake/frames.go
+++ b/internal/fake/frames.go
@@ -86,16 +86,29 @@
 	return call, errors.Join(shardErr, timeErr)
 }
 
-// replyInFrame replies in a frame. Its score, 7, has no effect: the co-ordinator checks only that it is a number.
+// replyInFrame replies in a frame.
 func (replica *Replica) replyInFrame(call Call, status, value string) {
-	replica.Write(call.Conn, replyLetter, fmt.Sprintf("%s %s 7 inflight=1\n%s", call.ID, status, value))
+	replica.writeFrame(call.Conn, replyFrame(call, status, value))
 }
 
 // Write writes a frame with the given letter and payload.
 func (replica *Replica) Write(conn net.Conn, letter byte, payload string) {
+	replica.writeFrame(conn, newFrame(letter, payload))
+}
+
+// replyFrame returns the frame of a reply. Its score, 7, has no effect: the co-ordinator checks only that it is a
+// number.
+func replyFrame(call Call, status, value string) []byte {
+	return newFrame(replyLetter, fmt.Sprintf("%s %s 7 inflight=1\n%s", call.ID, status, value))
+}
+
+func newFrame(letter byte, payload string) []byte {
 	frame := binary.BigEndian.AppendUint32(nil, uint32(1+len(payload)))
 	frame = append(frame, letter)
-	frame = append(frame, payload...)
+	return append(frame, payload...)
+}
+
+func (replica *Replica) writeFrame(conn net.Conn, frame []byte) {
 	replica.writing.Lock()
 	defer replica.writing.Unlock()
 	_, _ = conn.Write(frame) // after a write error, the connection's read loop fails and closes it
--- a/internal/fake/http2.go
+++ b/internal/fake/http2.go
@@ -244,7 +244,7 @@
 	delete(conn.streams, stream)
 	conn.sendWindow -= int64(len(value))
 	_ = conn.conn.SetWriteDeadline(time.Now().Add(http2WriteTimeout))
-	conn.writeReplyHeaders(stream, status, value)
+	conn.writeReplyHeaders(stream, status, value, true)
 	for len(value) > 0 {
 		size := min(len(value), dataFrameBytes)
 		_ = conn.framer.WriteData(stream, size == len(value), []byte(value[:size]))
@@ -252,7 +252,7 @@
 	}
 }
 
-func (conn *http2Conn) writeReplyHeaders(stream uint32, status, value string) {
+func (conn *http2Conn) writeReplyHeaders(stream uint32, status, value string, withLength bool) {
 	httpStatus, partEnd := "200", "ok"
 	switch status {
 	case "ERROR":
@@ -261,12 +261,15 @@
 		httpStatus, partEnd = "503", "rejected"
 	}
 	conn.headerBlock.Reset()
-	for _, field := range []hpack.HeaderField{
+	fields := []hpack.HeaderField{
 		{Name: ":status", Value: httpStatus},
 		{Name: "part-end", Value: partEnd},
 		{Name: "part-load", Value: "inflight=1"},
-		{Name: "content-length", Value: strconv.Itoa(len(value))},
-	} {
+	}
+	if withLength {
+		fields = append(fields, hpack.HeaderField{Name: "content-length", Value: strconv.Itoa(len(value))})
+	}
+	for _, field := range fields {
 		_ = conn.encoder.WriteField(field)
 	}
 	_ = conn.framer.WriteHeaders(http2.HeadersFrameParam{
--- /dev/null
+++ b/internal/fake/shortlength.go
@@ -0,0 +1,55 @@
+package fake
+
+import (
+	"encoding/binary"
+	"net"
+	"time"
+)
+
+// ShortLength returns a behavior that replies as Succeed does, except that the length of the message with the value is
+// too small by missing bytes. These bytes are written after a delay, or together with the others if it is 0. HTTP/2
+// replies have no content-length.
+func ShortLength(missing int, delay time.Duration) Behavior {
+	return func(replica *Replica, call Call) {
+		value := valueOf(replica, call)
+		if call.http2 != nil {
+			call.http2.replyWithShortLength(call.stream, value, missing, delay)
+			return
+		}
+		frame := replyFrame(call, "OK", value)
+		length := binary.BigEndian.Uint32(frame)
+		binary.BigEndian.PutUint32(frame, length-uint32(missing))
+		replica.writing.Lock()
+		defer replica.writing.Unlock()
+		writeInParts(call.Conn, frame, len(frame)-missing, delay)
+	}
+}
+
+// writeInParts writes the bytes after the first ones after a delay.
+func writeInParts(conn net.Conn, bytes []byte, first int, delay time.Duration) {
+	if delay == 0 {
+		first = len(bytes)
+	}
+	_, _ = conn.Write(bytes[:first])
+	time.Sleep(delay)
+	_, _ = conn.Write(bytes[first:])
+}
+
+func (conn *http2Conn) replyWithShortLength(stream uint32, value string, missing int, delay time.Duration) {
+	const (
+		dataType  = 0x0 // RFC 9113, 6.1
+		endStream = 0x1
+	)
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.streams[stream] == nil {
+		return
+	}
+	delete(conn.streams, stream)
+	conn.writeReplyHeaders(stream, "OK", value, false)
+	length := len(value) - missing
+	frame := []byte{byte(length >> 16), byte(length >> 8), byte(length), dataType, endStream}
+	frame = binary.BigEndian.AppendUint32(frame, stream)
+	frame = append(frame, value...)
+	writeInParts(conn.conn, frame, len(frame)-missing, delay)
+}
--- a/internal/replicaproto/frames/session.go
+++ b/internal/replicaproto/frames/session.go
@@ -150,5 +150,11 @@
 	return event, true, nil
 }
 
+// WithholdsReply reports whether a reply is withheld until it is known what follows it.
+func (session *Session) WithholdsReply() bool { return session.replies.Withholds() }
+
+// ReleaseReply lets Next return the withheld reply.
+func (session *Session) ReleaseReply() { session.replies.Release() }
+
 // HasPartialMessage reports whether an incomplete frame has been received.
 func (session *Session) HasPartialMessage() bool { return session.replies.Buffered() > 0 }
--- a/internal/replicaproto/http2/errors_test.go
+++ b/internal/replicaproto/http2/errors_test.go
@@ -94,7 +94,7 @@
 			t.Errorf("%s: error %v, last frames %q, want %q", name, replica.err, got, want)
 		}
 	}
-	replica := &fakeReplica{t: t, session: New("http", "a:1")}
+	replica := &fakeReplica{t: t, session: New("http", "a:1", nil)}
 	replica.framer = http2.NewFramer(&replica.toSession, &replica.fromSession)
 	replica.framer.WritePing(false, [8]byte{})
 	if replica.feed(); replica.err == nil {
--- a/internal/replicaproto/http2/fakereplica_test.go
+++ b/internal/replicaproto/http2/fakereplica_test.go
@@ -30,7 +30,7 @@
 }
 
 func newFakeReplica(t *testing.T, settings ...http2.Setting) *fakeReplica {
-	replica := &fakeReplica{t: t, session: New("http", "a:1"), decoder: hpack.NewDecoder(4096, nil)}
+	replica := &fakeReplica{t: t, session: New("http", "a:1", nil), decoder: hpack.NewDecoder(4096, nil)}
 	replica.framer = http2.NewFramer(&replica.toSession, &replica.fromSession)
 	replica.framer.AllowIllegalWrites = true
 	replica.encoder = hpack.NewEncoder(&replica.block)
@@ -54,20 +54,29 @@
 	}
 }
 
-// feed passes the bytes for the session to it one at a time and collects its events.
+// feed passes the bytes for the session to it one at a time and collects its events. Nothing follows these bytes: a
+// reply that the session still withholds is released.
 func (replica *fakeReplica) feed() {
 	for _, b := range replica.toSession.Bytes() {
 		replica.session.ReadBuffer()[0] = b
 		replica.session.Filled(1)
-		for replica.err == nil {
-			e, ok, err := replica.session.Next()
-			if replica.err = err; !ok {
-				break
-			}
-			replica.events = append(replica.events, e)
-		}
+		replica.collectEvents()
 	}
 	replica.toSession.Reset()
+	if replica.session.WithholdsReply() {
+		replica.session.ReleaseReply()
+		replica.collectEvents()
+	}
+}
+
+func (replica *fakeReplica) collectEvents() {
+	for replica.err == nil {
+		e, ok, err := replica.session.Next()
+		if replica.err = err; !ok {
+			break
+		}
+		replica.events = append(replica.events, e)
+	}
 }
 
 func (replica *fakeReplica) queueCall(shard, size int) *replicaproto.Call {
--- a/internal/replicaproto/http2/frames_in.go
+++ b/internal/replicaproto/http2/frames_in.go
@@ -25,6 +25,8 @@
 	decoder    *hpack.Decoder
 	headers    headerList           // the header list that is being received
 	events     []replicaproto.Event // that Next has not returned yet
+	withheld   *replicaproto.Event  // a reply that follows these events once its length is confirmed
+	released   bool                 // withheld may be returned although nothing follows it
 	idleFrames int                  // consecutive frames without progress
 }
 
@@ -36,32 +38,32 @@
 			session.events = session.events[1:]
 			return event, true, nil
 		}
-		frame, err := session.nextFrame()
-		if frame == nil && err == nil {
-			return event, false, nil
-		}
-		if err == nil {
-			err = session.onFrame(frame)
-		}
-		if err = session.handleError(err); err != nil {
+		progressed, err := session.advance()
+		if err = session.handleError(err); err != nil || !progressed {
 			return event, false, err
 		}
 	}
 }
 
+// advance confirms the withheld reply or handles the next frame. It returns false if more bytes are needed for it.
+func (session *Session) advance() (progressed bool, err error) {
+	if session.withheld != nil {
+		return session.confirmReply()
+	}
+	frame, err := session.nextFrame()
+	if frame == nil || err != nil {
+		return err != nil, err
+	}
+	return true, session.onFrame(frame)
+}
+
 // nextFrame removes the next frame from the input; it returns nil if the frame is incomplete.
 func (session *Session) nextFrame() (http2.Frame, error) {
 	input := session.input.Bytes()
-	if len(input) < frameHeaderSize {
-		return nil, nil
-	}
-	payload := int(input[0])<<16 | int(input[1])<<8 | int(input[2])
-	if payload > maxFrameSize {
-		return nil, http2.ConnectionError(http2.ErrCodeFrameSize)
-	}
+	payload, err := payloadLength(input)
 	size := frameHeaderSize + payload
-	if len(input) < size {
-		return nil, nil
+	if err != nil || len(input) < size {
+		return nil, err
 	}
 	session.frameInput.Reset(input[:size])
 	frame, err := session.framer.ReadFrame()
@@ -69,6 +71,18 @@
 	return frame, err
 }
 
+// payloadLength returns the length of the payload of the frame that the input begins. If bytes of the length are
+// missing, it returns the smallest possible one. It returns an error as soon as the length is too large.
+func payloadLength(input []byte) (int, error) {
+	var length [3]byte
+	copy(length[:], input)
+	payload := int(length[0])<<16 | int(length[1])<<8 | int(length[2])
+	if payload > maxFrameSize {
+		return 0, http2.ConnectionError(http2.ErrCodeFrameSize)
+	}
+	return payload, nil
+}
+
 func (session *Session) onFrame(frame http2.Frame) error {
 	_, isSettings := frame.(*http2.SettingsFrame)
 	if !session.settings.received && !isSettings {
--- a/internal/replicaproto/http2/response.go
+++ b/internal/replicaproto/http2/response.go
@@ -8,6 +8,7 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
+	"terntray/internal/replicaproto"
 	"terntray/internal/wire"
 )
 
@@ -130,7 +131,7 @@
 	if list.cpuUsage >= 0 {
 		stream.cpuUsage = list.cpuUsage
 	}
-	return session.onResponseEnd(stream)
+	return session.onResponseEnd(stream, false)
 }
 
 // onResponse handles the header list of a response. Interim responses are ignored.
@@ -155,7 +156,7 @@
 	stream.contentLength = list.contentLength
 	stream.cpuUsage = list.cpuUsage
 	if list.endsStream {
-		return session.onResponseEnd(stream)
+		return session.onResponseEnd(stream, false)
 	}
 	return nil
 }
@@ -189,14 +190,16 @@
 		return http2.StreamError{StreamID: stream.id, Code: http2.ErrCodeCancel}
 	}
 	if frame.StreamEnded() {
-		return session.onResponseEnd(stream)
+		return session.onResponseEnd(stream, true)
 	}
 	session.sendWindowUpdate(stream.id, stream.receiveWindow.replenish(size, initialWindow/2))
 	return nil
 }
 
-// onResponseEnd handles the end of a response and reports the reply.
-func (session *Session) onResponseEnd(stream *stream) error {
+// onResponseEnd handles the end of a response, by a DATA frame or by a header list, and reports the reply. A DATA frame
+// whose length is too small looks like a good one with a shorter value. If no content-length contradicts it, the reply
+// is withheld until it is known what follows.
+func (session *Session) onResponseEnd(stream *stream, endedByData bool) error {
 	if stream.contentLength >= 0 && stream.contentLength != int64(len(stream.value)) {
 		return malformedResponse(stream) // RFC 9113, 8.1.1
 	}
@@ -205,6 +208,37 @@
 		session.reset(stream, http2.ErrCodeNo)
 	}
 	session.removeStream(stream)
-	session.emit(replyEvent(stream))
+	reply := replyEvent(stream)
+	if reply.Status == replicaproto.OK && endedByData && stream.contentLength < 0 {
+		session.withheld = &reply
+	} else {
+		session.emit(reply)
+	}
 	return nil
 }
+
+// confirmReply emits the withheld reply if its value has the usual size, the start of another frame follows it, or it
+// was released. It returns false while none of these is known, and an error if bytes follow that are not a frame.
+func (session *Session) confirmReply() (confirmed bool, err error) {
+	size := len(session.withheld.Value)
+	input := session.input.Bytes()
+	if !session.valueSizes.IsUsual(size) {
+		if _, err := payloadLength(input); err != nil {
+			return false, err
+		}
+		if len(input) < frameHeaderSize && !session.released {
+			return false, nil
+		}
+	}
+	session.valueSizes.Record(size)
+	session.emit(*session.withheld)
+	session.withheld = nil
+	session.released = false
+	return true, nil
+}
+
+// WithholdsReply reports whether a reply is withheld until it is known what follows it.
+func (session *Session) WithholdsReply() bool { return session.withheld != nil }
+
+// ReleaseReply lets Next return the withheld reply.
+func (session *Session) ReleaseReply() { session.released = session.withheld != nil }
--- a/internal/replicaproto/http2/session_test.go
+++ b/internal/replicaproto/http2/session_test.go
@@ -272,7 +272,7 @@
 	replica.framer.WritePing(false, [8]byte{1})
 	f.Add(replica.toSession.Bytes(), uint8(9))
 	f.Fuzz(func(t *testing.T, b []byte, calls uint8) {
-		session := New("http", "a:1")
+		session := New("http", "a:1", nil)
 		ends := map[uint64]int{}
 		for n := range int(calls % 16) {
 			text := bytes.Repeat([]byte("x"), n*1000)
--- a/internal/replicaproto/session.go
+++ b/internal/replicaproto/session.go
@@ -32,6 +32,11 @@
 	// Next returns the next event. If it returns neither an event nor an error, more input is needed. After an error
 	// the connection is unusable, and Output returns its last message.
 	Next() (event Event, ok bool, err error)
+	// WithholdsReply reports whether Next withholds a reply because a length in it may be too small. Next returns the
+	// reply once another message follows it, or an error if other bytes do.
+	WithholdsReply() bool
+	// ReleaseReply lets Next return the withheld reply, as nothing has followed it for long enough.
+	ReleaseReply()
 	// HasPartialMessage reports whether an incomplete message has been received.
 	HasPartialMessage() bool
 }
--- a/internal/wire/replies.go
+++ b/internal/wire/replies.go
@@ -11,6 +11,7 @@
 
 const (
 	frameLengthSize = 4           // bytes of the length field before a frame
+	frameHeaderSize = 5           // bytes of the length field and the letter
 	maxFrame        = 2 * MaxBody // bytes; the value of a longer frame would not fit into a response to a client
 	maxQuotedBytes  = 120         // bytes of a message that an error quotes
 )
@@ -35,35 +36,77 @@
 }
 
 // ReplyReader parses a replica's frames from the bytes of a connection.
+//
+// The length of a frame may be wrong. If it is too small, the frame looks like a good one with a shorter value, and the
+// rest of the value follows it. So an OK reply is withheld until the start of another frame follows, unless its value
+// has the usual size. A reply that is followed by anything else is malformed. As a frame that nothing follows may be
+// the last one for a while, the caller releases a reply that has been withheld for long enough.
 type ReplyReader struct {
 	Buffer
 	Sizes *ValueSizes // shared by all connections; may be nil
+
+	withheld *Reply // parsed, but not returned yet
+	released bool   // withheld may be returned although nothing follows it
 }
 
 // Next returns the next reply, or nil without an error if more bytes are needed. After an error the connection cannot
 // be used any further.
 func (reader *ReplyReader) Next() (*Reply, error) {
+	if reader.withheld == nil {
+		reply, err := reader.parseFrame()
+		if reply == nil || err != nil {
+			return nil, err
+		}
+		reader.withheld = reply
+	}
+	return reader.confirm()
+}
+
+// Withholds reports whether a reply is withheld until it is known what follows it.
+func (reader *ReplyReader) Withholds() bool { return reader.withheld != nil }
+
+// Release lets Next return the withheld reply, as nothing has followed it for long enough.
+func (reader *ReplyReader) Release() { reader.released = reader.withheld != nil }
+
+// confirm returns the withheld reply once its length is known to fit, and nil without an error until then.
+func (reader *ReplyReader) confirm() (*Reply, error) {
+	reply := reader.withheld
+	hasValue := reply.Status == ReplyOK
+	isUsual := hasValue && reader.Sizes.IsUsual(len(reply.Value))
+	following, err := parseFrameHeader(reader.Bytes())
+	switch {
+	case isUsual:
+	case err != nil:
+		return nil, malformed("reply with a value of %d bytes followed by bytes that are not a frame", len(reply.Value))
+	case hasValue && !following.complete && !reader.released:
+		return nil, nil
+	}
+	if hasValue {
+		reader.Sizes.Record(len(reply.Value))
+	}
+	reader.withheld = nil
+	reader.released = false
+	return reply, nil
+}
+
+// parseFrame consumes the next frame and returns the reply in it, or nil without an error if the frame is incomplete.
+func (reader *ReplyReader) parseFrame() (*Reply, error) {
 	buffered := reader.Bytes()
-	length, err := frameLength(buffered)
-	if err != nil || length == 0 || len(buffered)-frameLengthSize < length {
+	header, err := parseFrameHeader(buffered)
+	end := frameLengthSize + header.length
+	if err != nil || !header.complete || len(buffered) < end {
 		return nil, err
 	}
-	end := frameLengthSize + length
-	letter, content := buffered[frameLengthSize], buffered[frameLengthSize+1:end]
-	_, nextErr := frameLength(buffered[end:])
+	content := buffered[frameHeaderSize:end]
 	reader.Consume(end)
-	switch letter {
-	case frameReply:
-		return reader.parse(content, nextErr != nil)
-	case frameRefusal:
+	if header.letter == frameRefusal {
 		return nil, &RefusedError{Message: string(truncated(content))}
 	}
-	return nil, malformed("unknown frame type %q", letter)
+	return parseReply(content)
 }
 
-// parse parses the content of a reply: a line with the id, the status, a score and a load report, then the value.
-// garbageFollows states that the bytes after the frame are not a frame.
-func (reader *ReplyReader) parse(content []byte, garbageFollows bool) (*Reply, error) {
+// parseReply parses the content of a reply: a line with the id, the status, a score and a load report, then the value.
+func parseReply(content []byte) (*Reply, error) {
 	line, value, hasValue := bytes.Cut(content, []byte("\n"))
 	words := bytes.SplitN(line, []byte(" "), 4)
 	if !hasValue || len(words) != 4 || len(words[0]) == 0 {
@@ -76,9 +119,6 @@
 	if !isFinite(string(words[2])) {
 		return nil, malformed("malformed reply score %q", truncated(words[2]))
 	}
-	if status == ReplyOK && reader.Sizes.isSuspicious(len(value), garbageFollows) {
-		return nil, malformed("value of unusual size %d followed by bytes that are not a frame", len(value))
-	}
 	reply := &Reply{ID: string(words[0]), Status: status, Value: bytes.Clone(value)}
 	reply.CPUUsage = ParseLoadReport(string(words[3]), "=")
 	return reply, nil
@@ -100,16 +140,30 @@
 	return err == nil && !math.IsNaN(number) && !math.IsInf(number, 0)
 }
 
-// frameLength returns the length of the frame at the start of the buffered bytes, or 0 if more bytes are needed.
-func frameLength(buffered []byte) (int, error) {
-	if len(buffered) < frameLengthSize {
-		return 0, nil
+// frameHeader is the start of a frame: its length, which covers the letter and the content, and its letter.
+type frameHeader struct {
+	length   int
+	letter   byte
+	complete bool // false: more bytes are needed
+}
+
+// parseFrameHeader parses the start of a frame, of which a part may be missing. It returns an error as soon as the
+// bytes cannot begin a frame.
+func parseFrameHeader(buffered []byte) (frameHeader, error) {
+	var padded [frameLengthSize]byte
+	present := copy(padded[:], buffered)
+	length := binary.BigEndian.Uint32(padded[:]) // the smallest possible one if bytes of it are missing
+	if length > maxFrame || length == 0 && present == frameLengthSize {
+		return frameHeader{}, malformed("invalid frame length %d", length)
+	}
+	if len(buffered) < frameHeaderSize {
+		return frameHeader{}, nil
 	}
-	length := binary.BigEndian.Uint32(buffered)
-	if length == 0 || length > maxFrame {
-		return 0, malformed("invalid frame length %d", length)
+	letter := buffered[frameLengthSize]
+	if letter != frameReply && letter != frameRefusal {
+		return frameHeader{}, malformed("unknown frame type %q", letter)
 	}
-	return int(length), nil
+	return frameHeader{length: int(length), letter: letter, complete: true}, nil
 }
 
 // truncated shortens a text that an error quotes.
--- a/internal/wire/replies_test.go
+++ b/internal/wire/replies_test.go
@@ -1,30 +1,39 @@
 package wire
 
 import (
+	"encoding/binary"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 )
 
-// repliesOf feeds frames in pieces of a size and returns the replies read, with "error" last after an error.
-func repliesOf(b []byte, piece int) (got []string) {
-	var reader ReplyReader
-	for len(b) > 0 {
-		size := min(piece, len(b))
-		reader.Feed(b[:size])
-		b = b[size:]
-		for {
-			reply, err := reader.Next()
-			if err != nil {
-				return append(got, "error")
-			}
-			if reply == nil {
-				break
-			}
+// repliesOf feeds frames in pieces of a size and returns the replies read, with "error" last after an error. Nothing
+// follows the last piece: a reply that is still withheld then is released.
+func repliesOf(b []byte, piece int) []string {
+	return repliesWithSizes(b, piece, nil)
+}
+
+func repliesWithSizes(b []byte, piece int, sizes *ValueSizes) (got []string) {
+	reader := ReplyReader{Sizes: sizes}
+	for ended := false; ; {
+		reply, err := reader.Next()
+		switch {
+		case err != nil:
+			return append(got, "error")
+		case reply != nil:
 			got = append(got, fmt.Sprintf("%s %s %q", reply.ID, reply.Status, reply.Value))
+		case len(b) > 0:
+			size := min(piece, len(b))
+			reader.Feed(b[:size])
+			b = b[size:]
+		case ended:
+			return got
+		default:
+			reader.Release()
+			ended = true
 		}
 	}
-	return got
 }
 
 // frameOf returns a frame with a letter and some content.
@@ -73,6 +82,104 @@
 	})
 }
 
+// resized returns a frame whose length is too large by some bytes, or too small if that is negative.
+func resized(frame []byte, excess int) []byte {
+	frame = slices.Clone(frame)
+	binary.BigEndian.PutUint32(frame, uint32(int(binary.BigEndian.Uint32(frame))+excess))
+	return frame
+}
+
+// A frame whose length is too small looks like a good one with a shorter value: that value must not be returned,
+// however many bytes of it are missing, however the input is split, and whatever was received before.
+func TestValueCutShortByItsLengthIsMalformed(t *testing.T) {
+	const value = "5be2a07c19f04d63"
+	whole := frameOf('Y', "a.1 OK 0 -\n"+value)
+	next := frameOf('Y', "a.2 OK 0 -\n"+value)
+	for before, sizes := range map[string]*ValueSizes{
+		"no value": nil, "few values": sizesOf(3, 16), "values of one size": sizesOf(100, 16),
+		"values of several sizes": sizesOf(100, 16, 7), "a longer value": sizesOf(1, 17),
+	} {
+		for missing := 1; missing <= len(value); missing++ {
+			cut := resized(whole, -missing)
+			for name, input := range map[string][]byte{"alone": cut, "a reply follows": slices.Concat(cut, next)} {
+				for _, piece := range []int{1, 3, len(cut) - missing, 1 << 20} {
+					got := fmt.Sprint(repliesWithSizes(input, piece, sizes))
+					if got != "[error]" {
+						t.Errorf("%s, after %s, %d missing, in pieces of %d: %s", name, before, missing, piece, got)
+					}
+				}
+			}
+		}
+	}
+}
+
+// A length that is too large takes in the start of the next reply. The value with these bytes must not be returned.
+func TestValueWithBytesOfTheNextReplyIsMalformed(t *testing.T) {
+	const value = "5be2a07c19f04d63"
+	frame := frameOf('Y', "a.1 OK 0 -\n"+value)
+	next := frameOf('Y', "a.2 OK 0 -\n"+value)
+	for _, sizes := range []*ValueSizes{nil, sizesOf(100, 16), sizesOf(100, 16, 7)} {
+		for excess := 1; excess < len(next); excess++ {
+			input := slices.Concat(resized(frame, excess), next)
+			for _, piece := range []int{1, 3, len(frame) + excess, 1 << 20} {
+				if got := fmt.Sprint(repliesWithSizes(input, piece, sizes)); got != "[error]" {
+					t.Errorf("%d too large, in pieces of %d: %s", excess, piece, got)
+				}
+			}
+		}
+	}
+}
+
+// A reply that claims not to have run is malformed too if bytes that are not a frame follow it: a malformed reply
+// proves nothing.
+func TestStatusFollowedByOtherBytesIsMalformed(t *testing.T) {
+	for _, status := range []string{"OK", "ERROR", "REJECTED"} {
+		reply := frameOf('Y', "a.1 "+status+" 0 -\n")
+		for _, following := range []string{"x", "\x00\x03", "\x00\x00\x00\x00", "\x00\x00\x00\x09Q", "tL\xdc\x7f"} {
+			if got := fmt.Sprint(repliesOf(append(reply, following...), 1<<20)); got != "[error]" {
+				t.Errorf("%s followed by %q: %s", status, following, got)
+			}
+		}
+	}
+}
+
+// A value of the size that all before it had is complete: it is returned at once, also if noise follows it. Rare sizes
+// need a longer run.
+func TestValueOfUsualSizeIsNotWithheld(t *testing.T) {
+	reply := frameOf('Y', "a.1 OK 0 -\n5be2a07c19f04d63")
+	for _, test := range []struct {
+		name  string
+		sizes *ValueSizes
+		want  bool
+	}{
+		{"too few", sizesOf(minUsualRun-1, 16), false},
+		{"enough", sizesOf(minUsualRun, 16), true},
+		{"enough of another size", sizesOf(minUsualRun, 17), false},
+		{"another size before", sizesOf(minVariedRun-1, 17, 16), false},
+		{"another size long before", sizesOf(minVariedRun, 17, 16), true},
+	} {
+		reader := ReplyReader{Sizes: test.sizes}
+		reader.Feed(append(reply, "noise"...))
+		got, err := reader.Next()
+		if returned := got != nil && err == nil; returned != test.want {
+			t.Errorf("%s: reply %v, error %v", test.name, got, err)
+		}
+	}
+}
+
+// sizesOf returns the sizes of one value of each of the sizes but the last, then of count values of the last.
+func sizesOf(count int, sizes ...int) *ValueSizes {
+	recorded := &ValueSizes{}
+	last := len(sizes) - 1
+	for _, size := range sizes[:last] {
+		recorded.Record(size)
+	}
+	for range count {
+		recorded.Record(sizes[last])
+	}
+	return recorded
+}
+
 // Call and abandon frames have the format that replicas expect.
 func TestFramesSent(t *testing.T) {
 	b := AppendCall(nil,
--- a/internal/wire/sizes.go
+++ b/internal/wire/sizes.go
@@ -2,38 +2,51 @@
 
 import "sync"
 
-// minSameSizeValues is the number of values of one size after which a value of another size is suspicious.
-const minSameSizeValues = 64
+const (
+	// minUsualRun is the number of consecutive values of one size after which that size is the usual one.
+	minUsualRun = 64
+	// minVariedRun replaces minUsualRun once values of several sizes were received: rare sizes then exist.
+	minVariedRun = 4096
+)
 
-// ValueSizes tracks whether all values of replicas have the same size. It detects a value that is truncated by a wrong
-// frame length, so that its remainder follows the frame: such a value would otherwise be accepted. ValueSizes is safe
-// for concurrent use. Its zero value has seen no values.
+// ValueSizes tracks whether the values of replicas all have the same size. A value of that usual size is complete: a
+// frame length that is too small would have made it shorter. ValueSizes is safe for concurrent use. Its zero value has
+// seen no values. A nil ValueSizes knows no usual size.
 type ValueSizes struct {
 	mu     sync.Mutex
-	size   int  // of the first value
-	same   int  // number of values of that size, up to minSameSizeValues; 0: no value yet
-	varied bool // values of several sizes are valid
+	size   int  // of the last value
+	run    int  // number of consecutive values of that size, up to minVariedRun; 0: no value yet
+	varied bool // the values had several sizes
 }
 
-// isSuspicious records a value's size. It reports whether the size is unlike that of all values before, of which there
-// were at least minSameSizeValues, and bytes that are not a frame follow. A nil ValueSizes always returns false.
-func (sizes *ValueSizes) isSuspicious(size int, garbageFollows bool) bool {
+// IsUsual reports whether a value has the size that all values before it had. It returns false while there were too
+// few to tell.
+func (sizes *ValueSizes) IsUsual(size int) bool {
 	if sizes == nil {
 		return false
 	}
 	sizes.mu.Lock()
 	defer sizes.mu.Unlock()
-	switch {
-	case sizes.varied:
-	case sizes.same == 0:
+	required := minUsualRun
+	if sizes.varied {
+		required = minVariedRun
+	}
+	return size == sizes.size && sizes.run >= required
+}
+
+// Record records the size of a complete value.
+func (sizes *ValueSizes) Record(size int) {
+	if sizes == nil {
+		return
+	}
+	sizes.mu.Lock()
+	defer sizes.mu.Unlock()
+	if size == sizes.size || sizes.run == 0 {
 		sizes.size = size
-		sizes.same = 1
-	case size == sizes.size:
-		sizes.same = min(sizes.same+1, minSameSizeValues)
-	case garbageFollows && sizes.same == minSameSizeValues:
-		return true
-	case !garbageFollows:
-		sizes.varied = true
+		sizes.run = min(sizes.run+1, minVariedRun)
+		return
 	}
-	return false
+	sizes.size = size
+	sizes.run = 1
+	sizes.varied = true
 }
--- a/replicaconn/driver.go
+++ b/replicaconn/driver.go
@@ -170,9 +170,9 @@
 		return frames.New(driver.config.MaxCallsPerFrame, driver.valueSizes)
 	}
 	if to.tlsName != "" {
-		return http2.New("https", to.addr)
+		return http2.New("https", to.addr, driver.valueSizes)
 	}
-	return http2.New("http", to.addr)
+	return http2.New("http", to.addr, driver.valueSizes)
 }
 
 // ConnUp notifies the pool that calls may be written on a connection. The connection's goroutines post it to the
--- a/replicaconn/reader.go
+++ b/replicaconn/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"time"
@@ -17,6 +18,10 @@
 	minFragmentTimeout = 100 * time.Millisecond
 	// messageTimeoutFactor times the fragment timeout is the limit for a whole message, from its first byte.
 	messageTimeoutFactor = 4
+	// replyConfirmation is how long a session withholds a reply that nothing follows. If a length in it is too small,
+	// the rest is expected within this time, which is longer than a delayed ACK (40 ms) holds back a small write. It
+	// adds to the latency of queries while value sizes vary or are not known yet.
+	replyConfirmation = 50 * time.Millisecond
 	// recheckWait is the deadline for one more read after the read deadline has passed: if this process was stalled
 	// past the deadline, input that arrived in time may not have been read yet.
 	recheckWait = 5 * time.Millisecond
@@ -35,6 +40,7 @@
 
 	bytes      int
 	midMessage bool  // the last message read is incomplete
+	withholds  bool  // the session withholds a reply
 	err        error // of the read
 }
 
@@ -43,6 +49,8 @@
 // A replica that stops in the middle of a message, or never ends one, would block all replies behind it, as would
 // garbage that looks like the start of a long message. So the next bytes of a message must arrive within the fragment
 // timeout, and the message must be complete within messageTimeoutFactor times that.
+//
+// withheld.go releases the replies that the session withholds.
 type reader struct {
 	conn   *conn
 	stream net.Conn
@@ -54,6 +62,8 @@
 	midMessage      bool      // the last message read is incomplete
 	hasReadDeadline bool
 	rechecked       bool // one more read was made since the read deadline passed
+
+	withheld withheldReply
 }
 
 // run reads until the connection ends, and returns the cause.
@@ -62,6 +72,14 @@
 	reader.hasReadDeadline = reader.awaitsReady()
 	for {
 		input := reader.read()
+		if reader.confirmationDue(input) {
+			if reader.recheck() {
+				continue
+			}
+			input = reader.release(nil)
+		} else if errors.Is(input.err, io.EOF) && reader.withheld.exists() {
+			input = reader.release(input.err)
+		}
 		reader.checkMessageDeadline(&input)
 		if reader.timedOut(input) {
 			if !reader.rechecked {
@@ -75,6 +93,7 @@
 			input.Malformed = errMessageStalled
 		}
 		reader.noteReady(input.Events)
+		reader.trackWithheld(&input)
 		reader.post(input)
 		if input.Malformed != nil {
 			return input.Malformed
@@ -96,6 +115,16 @@
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	conn.session.Filled(bytes)
+	if bytes > 0 {
+		reader.takeEvents(&input)
+	}
+	reader.noteState(&input)
+	return input
+}
+
+// takeEvents takes the session's events. The caller holds the connection's mutex.
+func (reader *reader) takeEvents(input *Input) {
+	conn := reader.conn
 	for {
 		event, ok, malformed := conn.session.Next()
 		if !ok {
@@ -107,8 +136,12 @@
 	if conn.traits.RepliesToInput {
 		conn.outputReady.Signal()
 	}
-	input.midMessage = conn.session.HasPartialMessage()
-	return input
+}
+
+// noteState notes what the session waits for. The caller holds the connection's mutex.
+func (reader *reader) noteState(input *Input) {
+	input.midMessage = reader.conn.session.HasPartialMessage()
+	input.withholds = reader.conn.session.WithholdsReply()
 }
 
 // checkMessageDeadline tracks how long a message has been incomplete, and treats one that exceeds its limit as
@@ -157,14 +190,18 @@
 
 // setReadDeadline sets the deadline of the next read.
 func (reader *reader) setReadDeadline() {
+	var deadline time.Time
 	switch {
 	case reader.awaitsReady():
-		reader.stream.SetReadDeadline(reader.readyDeadline)
+		deadline = reader.readyDeadline
 	case reader.midMessage:
-		reader.stream.SetReadDeadline(time.Now().Add(reader.fragmentTimeout()))
-	case reader.hasReadDeadline:
-		reader.stream.SetReadDeadline(time.Time{})
+		deadline = time.Now().Add(reader.fragmentTimeout())
+	}
+	deadline = reader.withheld.earlierOf(deadline)
+	hasDeadline := !deadline.IsZero()
+	if hasDeadline || reader.hasReadDeadline {
+		reader.stream.SetReadDeadline(deadline)
 	}
-	reader.hasReadDeadline = reader.awaitsReady() || reader.midMessage
+	reader.hasReadDeadline = hasDeadline
 	reader.rechecked = false
 }
--- /dev/null
+++ b/replicaconn/withheld.go
@@ -0,0 +1,70 @@
+package replicaconn
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"terntray/internal/netconn"
+)
+
+// withheldReply is the reply that a connection's session withholds because a length in it may be too small. It is
+// released after replyConfirmation, or at the orderly end of the connection, if nothing has followed it. If other bytes
+// than another message follow it, the session reports malformed input and its attempt ends with the connection.
+type withheldReply struct {
+	readAt  time.Duration // since process start
+	until   time.Time     // when it is to be released; zero if there is no such reply
+	dueNext bool          // until is the deadline of the current read
+}
+
+func (reply *withheldReply) exists() bool { return !reply.until.IsZero() }
+
+// earlierOf returns the earlier of a read deadline, which is zero if there is none, and the time of the release.
+func (reply *withheldReply) earlierOf(deadline time.Time) time.Time {
+	reply.dueNext = reply.exists() && (deadline.IsZero() || reply.until.Before(deadline))
+	if reply.dueNext {
+		return reply.until
+	}
+	return deadline
+}
+
+// confirmationDue reports whether a read timed out because the withheld reply is to be released.
+func (reader *reader) confirmationDue(input Input) bool {
+	return reader.withheld.dueNext && errors.Is(input.err, os.ErrDeadlineExceeded)
+}
+
+// recheck lets one more read be made if input has arrived: a stall of this process may have delayed its reading. It
+// returns false if the withheld reply can be released.
+func (reader *reader) recheck() bool {
+	if reader.rechecked || netconn.Peek(reader.stream) != netconn.Readable {
+		return false
+	}
+	reader.rechecked = true
+	reader.stream.SetReadDeadline(time.Now().Add(recheckWait))
+	return true
+}
+
+// release returns the withheld reply as the input of a read that ended with the given error.
+func (reader *reader) release(err error) Input {
+	conn := reader.conn
+	input := Input{err: err, At: reader.withheld.readAt}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.session.ReleaseReply()
+	reader.takeEvents(&input)
+	reader.noteState(&input)
+	return input
+}
+
+// trackWithheld starts the wait for a reply that the session now withholds. If the first event is a reply that was
+// withheld before, it is posted with the time at which it was read.
+func (reader *reader) trackWithheld(input *Input) {
+	if reader.withheld.exists() && len(input.Events) > 0 {
+		reader.post(Input{Events: input.Events[:1], At: reader.withheld.readAt})
+		input.Events = input.Events[1:]
+		reader.withheld = withheldReply{}
+	}
+	if input.withholds && !reader.withheld.exists() {
+		reader.withheld = withheldReply{readAt: input.At, until: time.Now().Add(replyConfirmation)}
+	}
+}
