Check the window of a key again when an attempt is written

Cause: the window was checked when an attempt is decided, and not when it is written. In between it may wait for its connection for up to bounds.connectTimeout, and in HTTP/2 its body for flow control.

Evidence: the trace has the retry decided 6 ms after the first attempt's end and received 1.03 s later.

Change: keyUse records when each attempt of a keyed subquery was written and forgets those that never ran; package invariant refuses one with key_expired, at its first byte and, in HTTP/2, at a last byte that had to wait. So it also holds for a first attempt that is written after its hedge. An attempt that still waits at the window's end is withdrawn: its query fails then.

--- a/coordinator/attempt.go
+++ b/coordinator/attempt.go
@@ -30,6 +30,7 @@
 		left := attempt.deadline - c.loop.Now()
 		timedOut := func() { c.abandonAttempt(attempt, scheduler.TimedOut) }
 		attempt.timeoutTimer = c.loop.After(left, "", timedOut)
+		c.withdrawOnKeyExpiry(attempt)
 	}
 }
 
@@ -45,10 +46,11 @@
 		number:   scheduler.AttemptNumber(len(subquery.attempts)),
 		replica:  to,
 		endpoint: c.replicas.EndpointByID(to),
+		effect:   c.effectOf(subquery.query),
 		deadline: deadline,
 	}
 	attempt.SentAt = c.loop.Now()
-	attempt.NonIdempotent = c.effectOf(subquery.query) == invariant.NonIdempotent
+	attempt.NonIdempotent = attempt.effect == invariant.NonIdempotent
 	return attempt
 }
 
@@ -113,6 +115,10 @@
 	attempt.ended = true
 	attempt.outcome = outcome
 	c.loop.Cancel(attempt.timeoutTimer)
+	c.loop.Cancel(attempt.keyTimer)
+	if attempt.evidence() == invariant.NeverRan {
+		attempt.subquery.key.neverRan(attempt)
+	}
 }
 
 // attemptEnded notifies the scheduler that an attempt has ended, and releases what is no longer needed.
--- a/coordinator/counters_test.go
+++ b/coordinator/counters_test.go
@@ -13,7 +13,7 @@
 	const want = "taken fulfilled partial turned_back full expired scrapped left open held_back bad " +
 		"legs retries hedges violations " +
 		"withheld_deadline_passed withheld_client_gone withheld_query_closed withheld_endpoint_draining withheld_endpoint_removed " +
-		"withheld_may_have_run withheld_attempt_running withheld_too_many_attempts withheld_answered withheld_not_answered " +
+		"withheld_may_have_run withheld_attempt_running withheld_key_expired withheld_too_many_attempts withheld_answered withheld_not_answered " +
 		"legs_ok legs_erred legs_turned_away legs_timed_out legs_unreachable legs_reset legs_cancelled legs_moot legs_spoilt " +
 		"late opened refused dropped spoilt silent goes_away limit_reached tls_failed certificates_running_out " +
 		"lists list_failures broken reloads questions two_phases pruned bad_summaries refused_questions peer_messages bad_peer_messages " +
--- a/coordinator/invariants.go
+++ b/coordinator/invariants.go
@@ -53,6 +53,8 @@
 		ClientGone:  attempt.subquery.query.client.HasDisconnected(now),
 		QueryClosed: attempt.subquery.unwanted(),
 		Endpoint:    attempt.endpoint.State(),
+		Effect:      attempt.effect,
+		Key:         attempt.subquery.key.by(attempt, now),
 	}
 }
 
@@ -74,7 +76,6 @@
 // is a violation.
 func (c *Coordinator) checkStart(attempt *attemptState, earlier []*attemptState) invariant.Reason {
 	snapshot := attempt.snapshot(c.loop.Now())
-	snapshot.Effect = c.effectOf(attempt.subquery.query)
 	snapshot.MaxAttempts = c.schedulerConfig.MaxAttempts
 	for _, previous := range earlier {
 		snapshot.Earlier = append(snapshot.Earlier, previous.evidence())
@@ -90,14 +91,16 @@
 	return reason
 }
 
-// mayWrite reports whether an attempt may be written now. It is called by its connection's writer, which holds the
+// mayWrite reports whether an attempt may be written now, and records that it is. It is called by its connection's writer, which holds the
 // connection's mutex.
 func (c *Coordinator) mayWrite(attempt *attemptState, now time.Duration) bool {
 	reason := attempt.snapshot(now).Check()
 	if reason != invariant.Allowed {
 		c.refusedWrites.add(attempt, reason)
+		return false
 	}
-	return reason == invariant.Allowed
+	attempt.subquery.key.written(attempt, now)
+	return true
 }
 
 // reportRefusedWrites notifies the loop of the writes that mayWrite has refused. Writers must not hold the
--- a/coordinator/query.go
+++ b/coordinator/query.go
@@ -43,6 +43,7 @@
 	attempts  []*attemptState // by scheduler.AttemptNumber
 	answered  bool
 	value     []byte      // the answer, once answered
+	key       *keyUse     // nil unless the subquery is keyed; used by any goroutine
 	phaseOver atomic.Bool // its phase or wave is over; read by any goroutine
 }
 
@@ -55,8 +56,10 @@
 	number           scheduler.AttemptNumber
 	replica          scheduler.ReplicaID
 	endpoint         *replicaconn.Endpoint
+	effect           invariant.Effect  // of running its subquery twice
 	deadline         time.Duration     // loop time at which the attempt times out
 	timeoutTimer     *eventloop.Timer  // for deadline
+	keyTimer         *eventloop.Timer  // for the end of the key's window; nil: none
 	ended            bool              // the scheduler knows the outcome or will be notified in the next iteration
 	outcome          scheduler.Outcome // once ended
 }
@@ -136,6 +139,9 @@
 // addSubquery adds a subquery to a query. The caller notifies the scheduler of it.
 func (c *Coordinator) addSubquery(query *queryState, shard int, wireID string, text []byte) *subqueryState {
 	subquery := &subqueryState{id: c.newRequestID(), query: query, shard: shard, wireID: wireID, text: text}
+	if c.effectOf(query) == invariant.Keyed {
+		subquery.key = &keyUse{window: c.classes[query.request.Class].keyWindow}
+	}
 	query.subqueries = append(query.subqueries, subquery)
 	c.subqueries[subquery.id] = subquery
 	c.openWork++
--- a/coordinator/settings.go
+++ b/coordinator/settings.go
@@ -23,6 +23,7 @@
 	index     scheduler.ClassIndex
 	objective time.Duration    // latency objective
 	effect    invariant.Effect // of running a subquery twice
+	keyWindow time.Duration    // how long replicas recognise a repeat of a keyed subquery
 }
 
 // configure reads the whole configuration, which does not change afterwards.
@@ -55,6 +56,7 @@
 			index:     scheduler.ClassIndex(index),
 			objective: settings.Objective,
 			effect:    settings.Effect,
+			keyWindow: settings.KeyWindow,
 		}
 	}
 }
--- a/internal/replicaproto/call.go
+++ b/internal/replicaproto/call.go
@@ -10,7 +10,7 @@
 	Waiting  Stage = iota // no byte was written; the call can still be withdrawn
 	Begun                 // some bytes may have been written
 	Written               // the last byte was handed to the operating system
-	Withheld              // Begin did not permit it: Permit refused, or less than MinTimeLeft was left; never written
+	Withheld              // not permitted: Permit refused, or less than MinTimeLeft was left; never fully written
 )
 
 // Call is one attempt as it is written to a connection. The Session of that connection sets Stage and Stream; package
@@ -25,8 +25,9 @@
 	// Deadline is when the caller stops waiting for the reply, as time since process start. The replica is sent the
 	// time that remains until then when the call's first byte is written.
 	Deadline time.Duration
-	// Permit is called when the first byte is about to be written, with the connection's mutex held. If it returns
-	// false, or less than MinTimeLeft remains, the call is never written. A nil Permit permits every call.
+	// Permit is called when the first byte is about to be written, and again before the last one if that had to wait,
+	// with the connection's mutex held. If it returns false, or less than MinTimeLeft remains at the first byte, the call
+	// is never written, or never completed. A nil Permit permits every call.
 	Permit func(now time.Duration) bool
 
 	Stage  Stage
@@ -49,6 +50,16 @@
 	return waitMS, true
 }
 
+// MayEnd reports whether the last byte of a call that has begun may be written now; if not, it sets the call's stage to
+// Withheld.
+func (call *Call) MayEnd(now time.Duration) bool {
+	if call.Permit != nil && !call.Permit(now) {
+		call.Stage = Withheld
+		return false
+	}
+	return true
+}
+
 // Revocable reports whether a call can still be withdrawn: no byte of it was written or is in the current output.
 func (call *Call) Revocable() bool { return call.Stage == Waiting || call.Stage == Withheld }
 
--- a/internal/replicaproto/http2/output.go
+++ b/internal/replicaproto/http2/output.go
@@ -31,7 +31,7 @@
 	for session.canBeginCall() && session.outputSize() < maxBytes {
 		session.beginNextCall(now)
 	}
-	session.writeBodies(maxBytes)
+	session.writeBodies(maxBytes, now)
 	output := session.output
 	session.output = nil
 	return output
@@ -121,8 +121,9 @@
 	return all[:size], all[size:]
 }
 
-// writeBodies writes one frame of each body in turn, until the output is large enough or no body can be sent.
-func (session *Session) writeBodies(maxBytes int) {
+// writeBodies writes one frame of each body in turn, until the output is large enough or no body can be sent. As the
+// rest of a body may have waited for credit, its end is written only if the call is still permitted.
+func (session *Session) writeBodies(maxBytes int, now time.Duration) {
 	blocked := 0 // consecutive bodies of which nothing can be sent
 	for blocked < len(session.sending) && session.outputSize() < maxBytes {
 		if session.sendWindow <= 0 || session.closeAnnounced {
@@ -135,8 +136,12 @@
 			blocked++
 			continue
 		}
-		session.writeBody(next, size)
 		blocked = 0
+		if isEnd := size == len(next.body); isEnd && !next.call.MayEnd(now) {
+			session.reset(next, http2.ErrCodeCancel)
+			continue
+		}
+		session.writeBody(next, size)
 	}
 }
 
@@ -179,10 +184,11 @@
 
 // writeControl calls write and queues the frames that it writes, for the next output.
 func (session *Session) writeControl(write func() error) {
+	current := session.output
 	session.output = session.control
 	must(write())
 	session.control = session.output
-	session.output = nil
+	session.output = current
 }
 
 // sendWindowUpdate queues a WINDOW_UPDATE for a stream, or for the connection if stream is 0.
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -7,12 +7,13 @@
 // check an attempt when it is decided and again when it is written, because a slow connect, a full buffer or a stall
 // of the process may lie between the two. A refusal at the time of writing is a race, and the attempt ends as never
 // sent. A refusal at the time of the decision is a violation, unless the scheduler could not know the reason yet. The
-// caller counts both. The check at the time of writing leaves out Effect, Earlier and MaxAttempts: whether a subquery
-// may be repeated is checked at the decision only.
+// caller counts both. The check at the time of writing leaves out Earlier and MaxAttempts, which no longer change after
+// the decision: an attempt that never ran does not run later.
 //
-// Repeats: an idempotent or keyed subquery may have as many attempts as MaxAttempts allows; the scheduler enforces the
-// window of a key (scheduler/retry.go). A non-idempotent subquery may have another attempt only if
-// each earlier one provably never ran, that is, if its Evidence is NeverRan. The Evidence of an attempt is derived
+// Repeats: an idempotent subquery may have as many attempts as MaxAttempts allows. So may a keyed one, but all attempts
+// must be written within the window that begins with the first that may have run. The scheduler sends none after it
+// (scheduler/retry.go), but an attempt may wait for its connection past the end of the window. A non-idempotent
+// subquery may have another attempt only if each earlier one provably never ran, that is, if its Evidence is NeverRan. The Evidence of an attempt is derived
 // from its outcome in coordinator/invariants.go. Attempt.checkRepeat implements the rule.
 package invariant
 
@@ -61,8 +62,19 @@
 	Effect      Effect
 	Earlier     []Evidence // of the earlier attempts of the same subquery
 	MaxAttempts int        // attempts per subquery that the settings allow; 0: no limit
+	Key         KeyUse     // of a keyed subquery
 }
 
+// KeyUse says how long the key of a keyed subquery has been in use.
+type KeyUse struct {
+	Used   bool          // another attempt that may have run was written
+	Age    time.Duration // since the first such attempt was written; 0 if not Used
+	Window time.Duration // how long replicas recognise a repeat, from the first attempt on
+}
+
+// Expired reports whether replicas may no longer recognise a repeat.
+func (use KeyUse) Expired() bool { return use.Used && use.Age >= use.Window }
+
 // Check returns Allowed if the attempt may be written, and otherwise the first reason against it.
 func (attempt Attempt) Check() Reason {
 	switch {
@@ -84,7 +96,10 @@
 
 // checkRepeat checks whether the subquery's effect allows one more attempt after the earlier ones.
 func (attempt Attempt) checkRepeat() Reason {
-	if attempt.Effect != NonIdempotent {
+	switch {
+	case attempt.Effect == Keyed && attempt.Key.Expired():
+		return KeyExpired
+	case attempt.Effect != NonIdempotent:
 		return Allowed
 	}
 	for _, earlier := range attempt.Earlier {
--- a/invariant/invariant_test.go
+++ b/invariant/invariant_test.go
@@ -26,6 +26,10 @@
 			attempt.Effect = NonIdempotent
 			attempt.Earlier = []Evidence{NeverRan, MayRun}
 		},
+		KeyExpired: func(attempt *Attempt) {
+			attempt.Effect = Keyed
+			attempt.Key = KeyUse{Used: true, Age: time.Second, Window: time.Second}
+		},
 		AttemptRunning: func(attempt *Attempt) {
 			attempt.Effect = NonIdempotent
 			attempt.Earlier = []Evidence{Running}
@@ -44,7 +48,8 @@
 	for _, attempt := range []Attempt{
 		{Effect: NonIdempotent, Earlier: []Evidence{NeverRan, NeverRan}},
 		{Effect: Idempotent, Earlier: []Evidence{Running, MayRun}},
-		{Effect: Keyed, Earlier: []Evidence{MayRun}},
+		{Effect: Keyed, Earlier: []Evidence{MayRun}, Key: KeyUse{Used: true, Age: time.Second - 1, Window: time.Second}},
+		{Effect: Keyed, Earlier: []Evidence{NeverRan}},
 	} {
 		attempt.TimeLeft = time.Second
 		if got := attempt.Check(); got != Allowed {
@@ -63,12 +68,19 @@
 			Endpoint:    EndpointState(rapid.IntRange(0, 2).Draw(t, "endpoint")),
 			Effect:      Effect(rapid.IntRange(0, 2).Draw(t, "effect")),
 			MaxAttempts: rapid.IntRange(0, 3).Draw(t, "most"),
+			Key: KeyUse{
+				Used:   rapid.Bool().Draw(t, "used"),
+				Age:    time.Duration(rapid.IntRange(0, 3).Draw(t, "age")) * time.Millisecond,
+				Window: time.Duration(rapid.IntRange(0, 3).Draw(t, "window")) * time.Millisecond,
+			},
 		}
 		for range rapid.IntRange(0, 4).Draw(t, "earlier") {
 			attempt.Earlier = append(attempt.Earlier, Evidence(rapid.IntRange(0, 2).Draw(t, "evidence")))
 		}
 		worse := attempt
-		worse.TimeLeft -= time.Duration(rapid.IntRange(0, 3).Draw(t, "passed")) * time.Millisecond
+		passed := time.Duration(rapid.IntRange(0, 3).Draw(t, "passed")) * time.Millisecond
+		worse.TimeLeft -= passed
+		worse.Key.Age += passed
 		worse.Earlier = append(append([]Evidence{}, attempt.Earlier...), MayRun)
 		if attempt.Check() != Allowed && worse.Check() == Allowed {
 			t.Fatalf("%+v is refused (%v), but %+v is allowed", attempt, attempt.Check(), worse)
--- a/invariant/reason.go
+++ b/invariant/reason.go
@@ -13,6 +13,7 @@
 	EndpointRemoved         // the endpoint list says that the replica is removed
 	MayHaveRun              // an earlier attempt of a non-idempotent subquery may have run
 	AttemptRunning          // an earlier attempt of a non-idempotent subquery has no outcome yet
+	KeyExpired              // replicas may no longer recognise a repeat of a keyed subquery
 	TooManyAttempts         // the settings allow no further attempt of this subquery
 	Answered                // the request has had its final response
 	NotAnswered             // the request was fully read and has had no final response
@@ -29,6 +30,7 @@
 	EndpointRemoved:  "endpoint_removed",
 	MayHaveRun:       "may_have_run",
 	AttemptRunning:   "attempt_running",
+	KeyExpired:       "key_expired",
 	TooManyAttempts:  "too_many_attempts",
 	Answered:         "answered",
 	NotAnswered:      "not_answered",
--- a/proofs/soak/breaks.go
+++ b/proofs/soak/breaks.go
@@ -98,8 +98,8 @@
 		},
 		{
 			File: "invariant/invariant.go",
-			Old:  "	if attempt.Effect != NonIdempotent {\n",
-			New:  "	if true {\n",
+			Old:  "	case attempt.Effect != NonIdempotent:\n",
+			New:  "	case true:\n",
 		},
 	}},
 	{"slow_start", soak.RuleSlowStart, []faultbuild.Patch{
