Apply lists that arrived during a stall before deciding or writing anything

Cause: after a stall the loop slept 2 ms and decided on what had been posted by then; with one processor more than a hundred clients' readers come before the watch's. Besides, attempts decided before the stall are written by their connections' own goroutines, which may run before the loop has read the list.

Change: lists are urgent, so an iteration calls them first; after a stall the loop waits, for 100 ms at the most, until the watches have delivered what has arrived; writers wait while the loop's last iteration is over 50 ms old.

--- a/cmd/terntray/keyed_test.go
+++ b/cmd/terntray/keyed_test.go
@@ -11,8 +11,8 @@
 
 const (
 	keyWindow = 400 * time.Millisecond // in which replicas recognise a repeat
-	// keySlack is allowed beyond a time limit: 50 ms by the protocol and 150 ms in which a process may be held up.
-	keySlack = 200 * time.Millisecond
+	// timeSlack is allowed beyond a time limit: 50 ms by the protocol and 150 ms in which a process may be held up.
+	timeSlack = 200 * time.Millisecond
 )
 
 // keyedSettings has replicas recognise repeats of class claim within keyWindow, and connections come up within 2.5 s.
@@ -49,7 +49,7 @@
 	if answer := client.receive(); answer.status != http.StatusInternalServerError {
 		t.Errorf("status %d %s", answer.status, answer.body)
 	}
-	if took := time.Since(arrived); took > keyWindow+keySlack {
+	if took := time.Since(arrived); took > keyWindow+timeSlack {
 		t.Errorf("answered %v after the first attempt, with a window of %v", took, keyWindow)
 	}
 }
@@ -88,7 +88,7 @@
 		fake.Fail(tried, call)
 	}
 	waitFor(t, "the retries have begun", func() bool { return slow.MaxStreams() == shards })
-	time.Sleep(time.Until(arrived.Add(keyWindow + keySlack)))
+	time.Sleep(time.Until(arrived.Add(keyWindow + timeSlack)))
 	slow.WithholdCredit(false)
 	slow.GrantCredit(1 << 20)
 	time.Sleep(100 * time.Millisecond) // for the rest of the body
--- /dev/null
+++ b/cmd/terntray/stall_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const drainGrace = time.Second // from the notification of a drain to the last attempt at the replica
+
+// Guards against attempts being sent to a draining replica long after the co-ordinator was notified: the process stands
+// still while the endpoint list changes and many clients send requests. When it goes on, it must apply the list, which
+// arrived first, before it decides on the requests.
+func TestListReceivedDuringAStallIsAppliedBeforeQueries(t *testing.T) {
+	const clientCount = 150
+	for round := range 3 {
+		draining, other := newReplica(t, "s-a", 0, succeed), newReplica(t, "s-b", 0, succeed)
+		program, discovery := startDeployment(t, strings.Replace(settings, `"maxOpen":40`, `"maxOpen":4000`, 1),
+			draining, other)
+		var clients []*clientConn
+		for range clientCount {
+			clients = append(clients, program.connect())
+		}
+		program.cmd.Process.Signal(syscall.SIGSTOP)
+		discovery.SetState(draining, "draining")
+		time.Sleep(50 * time.Millisecond) // for discovery to write the change
+		for n, client := range clients {
+			client.send(query("look", fmt.Sprint("q", n), 10, firstShards(24)...))
+		}
+		time.Sleep(drainGrace + timeSlack)
+		program.cmd.Process.Signal(syscall.SIGCONT)
+		for _, client := range clients {
+			client.receive() // any answer: one replica alone may be too few
+		}
+		if late := len(draining.Received()); late > 0 {
+			t.Errorf("round %d: %d of %d subqueries were sent to the draining replica", round, late, clientCount)
+		}
+	}
+}
+
+// Guards against the same for an attempt that was decided before the stall and waits for its connection. The connection
+// comes up during the stall, and its writer may run before the event loop does.
+func TestAttemptDecidedBeforeAStallIsNotSentToADrainingReplica(t *testing.T) {
+	for _, model := range []string{"m", "h2"} {
+		listener, accept := fullBacklog(t)
+		draining, other := newReplica(t, "s-a", 0, succeed), newReplica(t, "s-b", 0, succeed)
+		draining.Listener.Close()
+		draining.Listener, draining.Model, other.State = listener, model, "draining"
+		slow := strings.Replace(settings, `"connectTimeout":1000000`, `"connectTimeout":5000000`, 1)
+		program, discovery := startDeploymentWith(t, slow, allHTTP2, 1024, draining, other)
+		client := program.connect()
+		client.send(query("look", "q1", 10, 3))
+		waitFor(t, "an attempt waits for its connection", func() bool { return program.counters()["legs"] == 1 })
+		discovery.SetState(other, "ready")
+		waitFor(t, "the change is applied", func() bool { return strings.Contains(program.logText(), "rev=6 ") })
+		program.cmd.Process.Signal(syscall.SIGSTOP)
+		discovery.SetState(draining, "draining")
+		accept()
+		go draining.Accept(listener)
+		time.Sleep(drainGrace + timeSlack)
+		program.cmd.Process.Signal(syscall.SIGCONT)
+		client.expect(map[int]string{3: value(other, 3)})
+		if draining.HasReceived("q1") {
+			t.Errorf("%s: an attempt was sent to the draining replica", model)
+		}
+	}
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -105,6 +105,7 @@
 		return nil, err
 	}
 	c.discovery = discovery.New(c.discoveryConfig(), endpointHandler{c}, c.loop, logger)
+	c.loop.WaitAfterStall(c.discovery.HasCaughtUp)
 	c.server = server.New(c.serverConfig(), clientHandler{c}, c.loop, logger)
 	return c, c.startScheduler()
 }
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -3,7 +3,8 @@
 //
 // An endpoint list is processed as follows:
 //
-//  1. A watch (watch.go, on its own goroutine) reads the list from its connection and posts it to the event loop.
+//  1. A watch (watch.go, on its own goroutine) reads the list from its connection and posts it to the event loop, as
+//     urgent: after a stall of the process, the loop waits for lists that have arrived (HasCaughtUp).
 //  2. Watcher.listReceived, on the loop, drops unusable endpoints, updates the last known list (endpoints.go) and
 //     passes the received list to the Handler.
 //  3. The Handler, implemented by the coordinator (coordinator/endpoints.go), passes each endpoint to the replica
@@ -70,6 +71,7 @@
 	stopWatch context.CancelFunc
 	stopMove  context.CancelFunc // of the watch at a new address that has not sent the full list yet; nil if none
 	running   sync.WaitGroup     // goroutines of the watches
+	active    []activeWatch
 }
 
 // New returns a Watcher. Call Start to start it.
--- a/discovery/retry.go
+++ b/discovery/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"terntray/internal/wire"
@@ -13,20 +14,42 @@
 // startWatch starts a watch on its own goroutine and restarts it after a failure, until the context is cancelled.
 func (watcher *Watcher) startWatch(ctx context.Context, address string) {
 	startedAt := watcher.loop.Now()
-	post := func(fn func()) {
-		watcher.loop.Post(func() {
+	unlessDone := func(do func()) func() {
+		return func() {
 			if ctx.Err() == nil {
-				fn()
+				do()
 			}
-		})
+		}
 	}
 	deliver := func(list *wire.EndpointList) {
-		post(func() { watcher.listReceived(address, list) })
+		watcher.loop.PostUrgent(unlessDone(func() { watcher.listReceived(address, list) }))
 	}
 	watch := newWatch(address, watcher.hold, watcher.responseTimeout(), deliver)
+	watcher.addWatch(ctx, watch)
 	watcher.running.Go(func() {
 		err := watch.run(ctx)
-		post(func() { watcher.watchEnded(ctx, address, startedAt, err) })
+		watcher.loop.Post(unlessDone(func() { watcher.watchEnded(ctx, address, startedAt, err) }))
+	})
+}
+
+// activeWatch is a watch that may still deliver lists: until its context is cancelled.
+type activeWatch struct {
+	ctx   context.Context
+	watch *watch
+}
+
+func (active activeWatch) isOver() bool { return active.ctx.Err() != nil }
+
+// addWatch adds a watch to the active ones, and removes those that are over.
+func (watcher *Watcher) addWatch(ctx context.Context, started *watch) {
+	isOver := func(active activeWatch) bool { return active.isOver() || active.ctx == ctx }
+	watcher.active = append(slices.DeleteFunc(watcher.active, isOver), activeWatch{ctx, started})
+}
+
+// HasCaughtUp reports whether all lists that have arrived from the agents were posted to the event loop.
+func (watcher *Watcher) HasCaughtUp() bool {
+	return !slices.ContainsFunc(watcher.active, func(active activeWatch) bool {
+		return !active.isOver() && !active.watch.hasCaughtUp()
 	})
 }
 
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"terntray/internal/netconn"
@@ -31,8 +32,10 @@
 }
 
 // watch polls the full list and then repeatedly polls for changes, on one connection for as long as the agent keeps it
-// open. It is used by a single goroutine.
+// open. It is used by a single goroutine, except for hasCaughtUp.
 type watch struct {
+	mu sync.Mutex // held by run, except while it connects or waits for input; guards conn
+
 	address         string
 	hold            time.Duration // how long the agent may hold a poll for changes
 	responseTimeout time.Duration // in addition to hold
@@ -53,6 +56,8 @@
 
 // run polls until a poll fails or the context is cancelled, and returns the error.
 func (watch *watch) run(ctx context.Context) error {
+	watch.mu.Lock()
+	defer watch.mu.Unlock()
 	defer watch.disconnect()
 	for {
 		if watch.conn == nil {
@@ -111,7 +116,9 @@
 }
 
 func (watch *watch) connect(ctx context.Context) error {
+	watch.mu.Unlock()
 	conn, err := netconn.Dial(ctx, watch.address, time.Now().Add(watch.responseTimeout))
+	watch.mu.Lock()
 	if err != nil {
 		return err
 	}
@@ -139,6 +146,9 @@
 		if list != nil || err != nil {
 			return list, last, err
 		}
+		if err := watch.awaitInput(); err != nil {
+			return nil, false, err
+		}
 		count, err := watch.conn.Read(watch.reader.FreeSpace())
 		watch.reader.Filled(count)
 		isProgress := err == nil || count > 0
@@ -152,6 +162,23 @@
 	}
 }
 
+// awaitInput waits until there is something to read.
+func (watch *watch) awaitInput() error {
+	watch.mu.Unlock()
+	defer watch.mu.Lock()
+	return netconn.AwaitInput(watch.conn)
+}
+
+// hasCaughtUp reports whether everything that has arrived from the agent was read and, if it completed a list,
+// delivered. It may be called from any goroutine.
+func (watch *watch) hasCaughtUp() bool {
+	if !watch.mu.TryLock() {
+		return false
+	}
+	defer watch.mu.Unlock()
+	return watch.conn == nil || !netconn.HasInput(watch.conn)
+}
+
 // RevisionError is returned if the changes sent by an agent are older than the last received list, or come before any
 // list.
 type RevisionError struct {
--- a/discovery/watch_test.go
+++ b/discovery/watch_test.go
@@ -48,6 +48,48 @@
 	<-ended
 }
 
+// A watch has caught up while it waits for the agent. It has not while a list that arrived is unread, or read but not
+// delivered: after a stall, the event loop would otherwise decide by the list before.
+func TestWatchHasCaughtUpOnceAllListsAreDelivered(t *testing.T) {
+	agent, address := newAgent(t)
+	ctx, stop := context.WithCancel(context.Background())
+	delivering, unblock, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	watch := newWatch(address, defaultHold, agentTimeout, func(*wire.EndpointList) {
+		delivering <- struct{}{}
+		<-unblock
+	})
+	go func() {
+		watch.run(ctx)
+		close(ended)
+	}()
+	first := <-agent.Calls
+	awaitCaughtUp(t, watch)
+	for revision, call := 5, first; revision < 8; revision++ {
+		call.Respond(fmt.Sprintf(`{"rev":%d,"all":true,"targets":[]}`, revision))
+		<-delivering
+		if watch.hasCaughtUp() {
+			t.Error("the watch has caught up, but its list is not delivered")
+		}
+		unblock <- struct{}{}
+		call = <-agent.Calls
+		awaitCaughtUp(t, watch)
+	}
+	stop()
+	<-ended
+	if !watch.hasCaughtUp() {
+		t.Error("a watch that has ended has not caught up")
+	}
+}
+
+func awaitCaughtUp(t *testing.T, watch *watch) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !watch.hasCaughtUp(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the watch does not catch up")
+		}
+	}
+}
+
 // An agent does not answer a poll, for example during an outage of discovery. The poll times out quickly, so that
 // changes are received soon after the agent recovers: a drain counts as announced even while the poll hangs. The
 // limit of 1.2 s beyond the hold is well above agentTimeout.
--- a/eventloop/loop.go
+++ b/eventloop/loop.go
@@ -1,24 +1,27 @@
 // Package eventloop runs functions one after the other on a single goroutine, so that the state they share needs no
 // locks.
 //
-// Each iteration of a loop runs, in this order: the functions scheduled with NextIteration during the previous
-// iteration, the functions posted by other goroutines, the timers that are due, and finally the owner's
-// end-of-iteration function.
+// Each iteration of a loop runs, in this order: the urgent functions posted by other goroutines, the functions scheduled
+// with NextIteration during the previous iteration, the other functions posted, the timers that are due, and finally the
+// owner's end-of-iteration function.
 //
 // The loop also detects that its process was stalled (a stopped machine, a starved core) or that an iteration took as
 // long as a stall. Without that, timeouts and arrival times taken after a stall would be wrong; see
-// Loop.EarliestArrival.
+// Loop.EarliestArrival. After a stall no iteration starts before urgent input that has arrived is posted (WaitAfterStall),
+// and other goroutines can tell that the loop has not run since (IsBehind).
 package eventloop
 
 import (
 	"fmt"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	inboxCapacity = 256                   // posted functions waiting for an iteration; Post blocks while it is full
-	maxIdle       = 20 * time.Millisecond // between iterations, so that a stall is detected soon after it ends
+	inboxCapacity  = 256                   // posted functions waiting for an iteration; Post blocks while it is full
+	urgentCapacity = 16                    // urgent ones; PostUrgent blocks while it is full
+	maxIdle        = 20 * time.Millisecond // between iterations, so that a stall is detected soon after it ends
 )
 
 // Loop is an event loop. The goroutine of Run calls all functions passed to the loop. The loop's methods may be
@@ -28,7 +31,9 @@
 	now   time.Duration // time of the current iteration, since start
 
 	inbox    chan func()
-	received []func()      // taken from inbox and not called yet: one, or more after a panic
+	received []func() // taken from inbox and not called yet: one, or more after a panic
+	urgent   chan func()
+	taken    []func()      // taken from urgent and not called yet
 	next     []func()      // to be called at the start of the next iteration
 	current  []func()      // scheduled for the current iteration and not called yet
 	ended    chan struct{} // closed when Run returns
@@ -40,6 +45,10 @@
 	stall         stall
 	lateBy        time.Duration // see LateBy
 	lastCompleted time.Duration // time of the last iteration that ended without a panic
+	caughtUp      func() bool   // see WaitAfterStall; may be nil
+
+	running     atomic.Bool  // Run is running
+	urgentUntil atomic.Int64 // time, since start, of the last iteration that has called its urgent functions
 }
 
 // New returns a loop whose clock starts now.
@@ -47,6 +56,7 @@
 	return &Loop{
 		start:        time.Now(),
 		inbox:        make(chan func(), inboxCapacity),
+		urgent:       make(chan func(), urgentCapacity),
 		ended:        make(chan struct{}),
 		timersByName: map[string]*Timer{},
 	}
@@ -65,6 +75,17 @@
 	}
 }
 
+// PostUrgent is Post for a function that has to be called before all others in its iteration. It blocks while too many
+// of these wait.
+func (loop *Loop) PostUrgent(do func()) bool {
+	select {
+	case loop.urgent <- do:
+		return true
+	case <-loop.ended:
+		return false
+	}
+}
+
 // Start returns the time at which the loop's clock started. It may be called from any goroutine.
 func (loop *Loop) Start() time.Time { return loop.start }
 
@@ -92,6 +113,8 @@
 	clock := time.NewTimer(0)
 	defer clock.Stop()
 	defer close(loop.ended)
+	loop.running.Store(true)
+	defer loop.running.Store(false)
 	for !finished() {
 		loop.wait(clock)
 		cause := Recover(func() { loop.RunIteration(func() {}, endIteration) })
@@ -114,6 +137,8 @@
 	select {
 	case do := <-loop.inbox:
 		loop.received = append(loop.received, do)
+	case do := <-loop.urgent:
+		loop.taken = append(loop.taken, do)
 	case <-clock.C:
 	}
 	loop.detectStallAndCatchUp(max(due, waitFrom))
@@ -138,6 +163,7 @@
 // next iteration. RunIteration does not recover from panics.
 func (loop *Loop) RunIteration(event, endIteration func()) {
 	loop.now = loop.Since(time.Now())
+	loop.callUrgent()
 	loop.current, loop.next = loop.next, nil
 	for len(loop.current) > 0 {
 		do := loop.current[0]
@@ -158,6 +184,24 @@
 	loop.lastCompleted = loop.now
 }
 
+// callUrgent calls the urgent functions posted so far.
+func (loop *Loop) callUrgent() {
+	loop.takeUrgent()
+	for len(loop.taken) > 0 {
+		do := loop.taken[0]
+		loop.taken = loop.taken[1:]
+		do()
+	}
+	loop.urgentUntil.Store(int64(loop.now))
+}
+
+// takeUrgent takes the urgent functions from their queue, so that their senders need not wait.
+func (loop *Loop) takeUrgent() {
+	for waiting := len(loop.urgent); waiting > 0; waiting-- {
+		loop.taken = append(loop.taken, <-loop.urgent)
+	}
+}
+
 // Receive waits for the next posted function and returns it without calling it. It is meant for tests that drive a
 // loop without Run.
 func (loop *Loop) Receive() func() { return <-loop.inbox }
--- a/eventloop/stall.go
+++ b/eventloop/stall.go
@@ -3,8 +3,14 @@
 import "time"
 
 const (
-	stallThreshold = 30 * time.Millisecond // lateness above it is a stall; a busy core causes less
-	catchUpPause   = 2 * time.Millisecond  // after a stall, lets other goroutines read and post what has arrived
+	stallThreshold = 30 * time.Millisecond  // lateness above it is a stall; a busy core causes less
+	catchUpPause   = 2 * time.Millisecond   // after a stall, lets other goroutines read and post what has arrived
+	maxCatchUp     = 100 * time.Millisecond // after a stall, to wait for urgent input
+	catchUpRecheck = 200 * time.Microsecond // between two looks whether it was posted
+
+	// behindThreshold is the age of the last iteration above which the loop is behind: it is due to run after maxIdle,
+	// and less than stallThreshold later.
+	behindThreshold = maxIdle + stallThreshold
 )
 
 // stall is a period in which the loop could not start an iteration, because the process did not run or because one
@@ -22,9 +28,33 @@
 		return
 	}
 	time.Sleep(catchUpPause)
+	loop.waitForUrgent()
 	loop.stall = stall{from: due, until: loop.Since(time.Now())}
 }
 
+// WaitAfterStall sets a function that reports whether all urgent input that has arrived was posted with PostUrgent.
+// After a stall, the next iteration waits until it returns true, for at most maxCatchUp. Otherwise the iteration could
+// decide by older input that was posted earlier. WaitAfterStall must be called before Run.
+func (loop *Loop) WaitAfterStall(caughtUp func() bool) { loop.caughtUp = caughtUp }
+
+func (loop *Loop) waitForUrgent() {
+	if loop.caughtUp == nil {
+		return
+	}
+	end := time.Now().Add(maxCatchUp)
+	for !loop.caughtUp() && time.Now().Before(end) {
+		loop.takeUrgent()
+		time.Sleep(catchUpRecheck)
+	}
+}
+
+// IsBehind reports whether, at a time since the loop's start, no iteration has called its urgent functions for so long
+// that the process or the loop must have been stalled. What the loop has decided before may then be outdated. It may be
+// called from any goroutine.
+func (loop *Loop) IsBehind(now time.Duration) bool {
+	return loop.running.Load() && now-time.Duration(loop.urgentUntil.Load()) > behindThreshold
+}
+
 // LateBy returns the larger of two durations: how much later than due the current iteration started, and how long
 // the previous one took. Either delays everything that waits for the loop.
 func (loop *Loop) LateBy() time.Duration { return loop.lateBy }
--- a/eventloop/stall_test.go
+++ b/eventloop/stall_test.go
@@ -1,6 +1,8 @@
 package eventloop
 
 import (
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -46,3 +48,66 @@
 		t.Errorf("read at %v, dated to %v, although the stall began at %v", read, arrived, began)
 	}
 }
+
+// Guards against decisions by old input after a stall: urgent input has arrived, but its reader has not posted it yet.
+// The next iteration must wait for it, and call it before everything else, whatever was posted first.
+func TestIterationAfterStallWaitsForUrgentInput(t *testing.T) {
+	loop := New()
+	var calls []string
+	var posted atomic.Bool
+	loop.WaitAfterStall(posted.Load)
+	loop.NextIteration(func() { calls = append(calls, "next") })
+	loop.Post(func() { calls = append(calls, "posted") })
+	time.AfterFunc(30*time.Millisecond, func() {
+		loop.PostUrgent(func() { calls = append(calls, "urgent") })
+		posted.Store(true)
+	})
+	loop.detectStallAndCatchUp(loop.Since(time.Now()) - time.Second)
+	loop.RunIteration(func() {}, func() {})
+	if got := fmt.Sprint(calls); got != "[urgent next posted]" {
+		t.Errorf("called %s", got)
+	}
+}
+
+// Urgent input that is never posted delays the iteration after a stall by maxCatchUp only, and more of it than the
+// queue holds must not block its senders meanwhile.
+func TestWaitForUrgentInputIsBounded(t *testing.T) {
+	const count = 3 * urgentCapacity
+	loop := New()
+	loop.WaitAfterStall(func() bool { return false })
+	called := 0
+	go func() {
+		for range count {
+			loop.PostUrgent(func() { called++ })
+		}
+	}()
+	began := time.Now()
+	loop.detectStallAndCatchUp(loop.Since(began) - time.Second)
+	if took := time.Since(began); took < maxCatchUp || took > 20*maxCatchUp { // the bound leaves room for a busy machine
+		t.Errorf("the loop waited %v", took)
+	}
+	loop.RunIteration(func() {}, func() {})
+	if called != count {
+		t.Errorf("%d of %d urgent functions were called", called, count)
+	}
+}
+
+// A loop that runs is behind from behindThreshold after the start of its last iteration on. A loop that does not run
+// yet, or has ended, is never behind: nothing would wait for it.
+func TestIsBehind(t *testing.T) {
+	loop := New()
+	if loop.IsBehind(time.Hour) {
+		t.Error("a loop that has not started is behind")
+	}
+	var now time.Duration
+	loop.Post(func() {
+		now = loop.Now()
+		if loop.IsBehind(now+behindThreshold) || !loop.IsBehind(now+behindThreshold+1) {
+			t.Error("wrong threshold")
+		}
+	})
+	loop.Run(func() {}, func(string) {}, func() bool { return now > 0 })
+	if loop.IsBehind(time.Hour) {
+		t.Error("a loop that has ended is behind")
+	}
+}
--- a/internal/netconn/peek.go
+++ b/internal/netconn/peek.go
@@ -68,6 +68,40 @@
 	return state
 }
 
+// HasInput reports whether a connection has input, an end or an error that was not read yet. Unlike Peek it does not
+// take an error from the connection, which its reader would then miss.
+func HasInput(conn net.Conn) (hasInput bool) {
+	withDescriptor(conn, func(descriptor int) {
+		polled := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
+		ready, err := unix.Poll(polled, 0)
+		hasInput = err == nil && ready > 0
+	})
+	return hasInput
+}
+
+// AwaitInput waits until a connection has input to read or has ended, without reading. It returns an error if the
+// connection has one, the read deadline passes or the connection is closed meanwhile.
+func AwaitInput(conn net.Conn) error {
+	sysConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sysConn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	buffer := make([]byte, 1)
+	var connErr error
+	err = raw.Read(func(descriptor uintptr) (done bool) {
+		_, connErr = peekFunc(int(descriptor), buffer)
+		return !errors.Is(connErr, syscall.EAGAIN) && !errors.Is(connErr, syscall.EINTR)
+	})
+	if err != nil {
+		return err
+	}
+	return connErr
+}
+
 // HasEnded reports whether the peer has closed a connection and no input is left to be read, even if the connection's
 // reader has not noticed yet. A writer checks this before it writes a call: after the peer has closed, the kernel
 // would still accept the call's bytes, and the call would count as one that may have run.
--- a/internal/netconn/peek_test.go
+++ b/internal/netconn/peek_test.go
@@ -1,8 +1,10 @@
 package netconn
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -75,3 +77,40 @@
 		}
 	}
 }
+
+// A reset must reach the connection's reader even if HasInput was asked before: a reader that saw an orderly end instead
+// would take an incomplete message for a complete one.
+func TestHasInputLeavesAResetToTheReader(t *testing.T) {
+	near, far := tcpPair(t)
+	if HasInput(near) {
+		t.Error("a silent connection has input")
+	}
+	far.SetLinger(0)
+	far.Close()
+	for end := time.Now().Add(5 * time.Second); !HasInput(near); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the reset is not input")
+		}
+	}
+	if err := AwaitInput(near); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("AwaitInput returned %v", err)
+	}
+}
+
+// AwaitInput must neither read anything nor wait longer than the read deadline.
+func TestAwaitInputReadsNothing(t *testing.T) {
+	near, far := tcpPair(t)
+	near.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+	if err := AwaitInput(near); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("without input: %v", err)
+	}
+	near.SetReadDeadline(time.Time{})
+	far.Write([]byte("ab"))
+	if err := AwaitInput(near); err != nil {
+		t.Error(err)
+	}
+	buffer := make([]byte, 2)
+	if _, err := io.ReadFull(near, buffer); err != nil || string(buffer) != "ab" {
+		t.Errorf("read %q, error %v", buffer, err)
+	}
+}
--- a/replicaconn/writer.go
+++ b/replicaconn/writer.go
@@ -15,6 +15,8 @@
 	writeTimeout = 60 * time.Millisecond
 	// writeSize is the approximate number of bytes per write. Calls behind them can still be withdrawn.
 	writeSize = 16 << 10
+	// loopRecheck is the time between two looks whether the event loop has run again.
+	loopRecheck = time.Millisecond
 	// lastReplyTimeout is how long replies are still read on a connection that can no longer be written to.
 	lastReplyTimeout = time.Second
 )
@@ -62,6 +64,10 @@
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	for !conn.closing {
+		if conn.driver.loop.IsBehind(conn.now()) {
+			conn.pause()
+			continue
+		}
 		output = conn.session.Output(buffer, writeSize, conn.now())
 		if len(output) > 0 || conn.driver.handler.HasRefusedCalls() {
 			return output, false
@@ -74,6 +80,15 @@
 	return buffer, true
 }
 
+// pause releases the connection's mutex for a moment. The writer waits so for the loop after a stall: what the loop has
+// decided may be outdated, for instance because a replica began to drain meanwhile, and the loop's next iteration
+// may withdraw it.
+func (conn *conn) pause() {
+	conn.mu.Unlock()
+	defer conn.mu.Lock()
+	time.Sleep(loopRecheck)
+}
+
 // writeFinal writes the last message on a connection, where the protocol has one.
 func (conn *conn) writeFinal(stream net.Conn, output []byte) {
 	if len(output) > 0 {
