Count each request from when the machine received it

Replicas were told up to 1.01 s more than was left to the client, after a stall of a second: only what was read within 4 ms of a stall's end was dated back to its begin, and readers of more than a hundred clients need longer.

The operating system's time of a connection's last data was asked for the first request only; now for each, and where it reports none, the time of reading counts as before. Such a time is exact, so a request that came late in a stall is no longer dated to the stall's begin.

--- a/cmd/terntray/stall_test.go
+++ b/cmd/terntray/stall_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"terntray/internal/fake"
 )
 
 const drainGrace = time.Second // from the notification of a drain to the last attempt at the replica
@@ -67,3 +70,54 @@
 		}
 	}
 }
+
+// Guards against replicas being sent too long a time: requests that arrived during a stall are read only after it, some
+// of them long after others. Their deadlines count from when they arrived.
+func TestTimeLeftAfterAStallCountsFromTheArrival(t *testing.T) {
+	const (
+		clientCount = 150
+		deadline    = 10 * time.Second
+	)
+	var mu sync.Mutex
+	sentAt := map[string]time.Time{}
+	checked := 0
+	replica := newReplica(t, "s-a", 0, func(replica *fake.Replica, call fake.Call) {
+		mu.Lock()
+		defer mu.Unlock()
+		id, _, _ := strings.Cut(call.ID, ".")
+		left := deadline - time.Since(sentAt[id])
+		if told := time.Duration(call.TimeLeftMS) * time.Millisecond; told > left+timeSlack {
+			t.Errorf("%s: the replica was sent %v as the time left, with %v left", call.ID, told, left)
+		}
+		checked++
+		succeed(replica, call)
+	})
+	patient := strings.NewReplacer(`"maxOpen":40`, `"maxOpen":4000`, `"aim":2000000`, `"aim":9000000`).Replace(settings)
+	program, _ := startDeployment(t, patient, replica)
+	var clients []*clientConn
+	for n := range clientCount {
+		clients = append(clients, program.connect())
+		mu.Lock()
+		sentAt[fmt.Sprint("first", n)] = time.Now()
+		mu.Unlock()
+		clients[n].send(query("look", fmt.Sprint("first", n), deadline.Seconds(), 3))
+	}
+	for _, client := range clients {
+		client.receive()
+	}
+	program.cmd.Process.Signal(syscall.SIGSTOP)
+	for n, client := range clients {
+		mu.Lock()
+		sentAt[fmt.Sprint("q", n)] = time.Now()
+		mu.Unlock()
+		client.send(query("look", fmt.Sprint("q", n), deadline.Seconds(), firstShards(24)...))
+	}
+	time.Sleep(time.Second)
+	program.cmd.Process.Signal(syscall.SIGCONT)
+	for _, client := range clients {
+		client.receive() // any answer: one replica may be too few
+	}
+	if checked <= clientCount {
+		t.Error("no attempt was made after the stall")
+	}
+}
--- a/coordinator/arrival.go
+++ b/coordinator/arrival.go
@@ -10,12 +10,12 @@
 	"terntray/server"
 )
 
-// queryArrives handles a query that was fully received from a client at loop time receivedAt. It answers the query at
+// queryArrives handles a query that had fully arrived from a client at the loop time arrived. It answers the query at
 // once, opens it, or drops it if its client has disconnected. A connected client gets exactly one answer.
 //
 // Until the query is answered or open, c.arriving is the client, so that the query is answered even after a panic; see
 // recoverFromPanic.
-func (c *Coordinator) queryArrives(from client, request *wire.Query, receivedAt time.Duration) {
+func (c *Coordinator) queryArrives(from client, request *wire.Query, arrived time.Duration) {
 	c.arriving = from
 	unknownShard, hasUnknown := c.unknownShard(request)
 	switch {
@@ -29,12 +29,12 @@
 	case c.isFull():
 		c.counts.RejectedFull++
 		c.rejectArrival(from, "too much is open")
-	case c.loop.EarliestArrival(receivedAt)+request.Timeout <= c.loop.Now():
+	case arrived+request.Timeout <= c.loop.Now():
 		c.counts.RejectedExpired++
 		c.rejectArrival(from, "its time was over before it was read")
 	default:
 		c.counts.Queries++
-		c.acceptQuery(from, request, receivedAt)
+		c.acceptQuery(from, request, arrived)
 	}
 	c.arriving = nil
 }
@@ -69,8 +69,7 @@
 }
 
 // acceptQuery opens a query and notifies the scheduler.
-func (c *Coordinator) acceptQuery(from client, request *wire.Query, receivedAt time.Duration) {
-	arrived := c.loop.EarliestArrival(receivedAt)
+func (c *Coordinator) acceptQuery(from client, request *wire.Query, arrived time.Duration) {
 	query := &queryState{
 		id:       c.newRequestID(),
 		number:   c.nextQueryNumber(),
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -64,7 +64,11 @@
 	c := handler.c
 	now := c.loop.Now()
 	c.admission.observeQueueDelay(now, now-arrival.ParsedAt)
-	c.queryArrives(arrival.Client, arrival.Query, arrival.ReceivedAt)
+	arrived := arrival.ReceivedAt
+	if !arrival.ReceivedAtKnown {
+		arrived = c.loop.EarliestArrival(arrived)
+	}
+	c.queryArrives(arrival.Client, arrival.Query, arrived)
 }
 
 // ClientDisconnected closes the open query, if any, of a client that has disconnected.
--- a/coordinator/doc.go
+++ b/coordinator/doc.go
@@ -67,8 +67,9 @@
 // A panic in an iteration fails the open queries and starts a new scheduler; see recoverFromPanic. A panic in the
 // goroutine of a client connection or in the reader of a replica connection ends only that connection. A panic in any
 // other goroutine, such as the writer of a replica connection, ends the process. A query that the scheduler leaves
-// open is failed at its deadline; see deadlinePassed. Data read after a stall of the process is dated to the start of
-// the stall; see eventloop.Loop.EarliestArrival.
+// open is failed at its deadline; see deadlinePassed. Queries count from when the operating system received them. Where
+// it does not report that, those read after a stall of the process are dated to the start of the stall; see
+// eventloop.Loop.EarliestArrival.
 //
 // # Files
 //
--- a/internal/netconn/peek.go
+++ b/internal/netconn/peek.go
@@ -133,14 +133,15 @@
 	return HasEnded(conn)
 }
 
-// SinceLastData returns the time since a connection last received data, whether or not that was read; 0 if the
-// operating system does not report it.
-func SinceLastData(conn net.Conn) (ago time.Duration) {
+// SinceLastData returns the time since a connection last received data, whether or not that was read. known is false if
+// the operating system does not report it.
+func SinceLastData(conn net.Conn) (ago time.Duration, known bool) {
 	withDescriptor(conn, func(descriptor int) {
 		info, err := unix.GetsockoptTCPInfo(descriptor, unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err == nil && info.State != 0 {
 			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+			known = true
 		}
 	})
-	return ago
+	return ago, known
 }
--- a/server/connection.go
+++ b/server/connection.go
@@ -180,19 +180,18 @@
 	if request == nil {
 		return awaitInput, 0
 	}
-	if !client.dispatch(request, client.receivedAt()) {
+	if !client.dispatch(request) {
 		return closeConn, client.responseCloseReason()
 	}
 	return proceed, 0
 }
 
-// receivedAt returns the loop time at which the request just read was received. The first request of a connection may
-// have been received by the kernel before accept, so the time of its last data is taken from the kernel. Otherwise its
-// response, and the deadlines sent to replicas, would be late by the time spent in the accept queue.
-func (client *ClientConn) receivedAt() time.Duration {
+// receivedAt returns the loop time at which the request just read was received. The operating system may have received
+// it long before it was read: before accept, or while this process was stalled. Its response, and the deadlines sent to
+// replicas, would be late by that time. known is false if the operating system does not report it; the time is that of
+// reading then.
+func (client *ClientConn) receivedAt() (at time.Duration, known bool) {
 	now := client.server.now()
-	if client.requestCount > 0 {
-		return now
-	}
-	return now - netconn.SinceLastData(client.conn)
+	ago, known := netconn.SinceLastData(client.conn)
+	return now - ago, known
 }
--- a/server/routes.go
+++ b/server/routes.go
@@ -20,7 +20,7 @@
 const idempotencyKey = "Idempotency-Key"
 
 // dispatch answers a request or passes it to the event loop. It reports whether the connection stays open.
-func (client *ClientConn) dispatch(request *wire.Request, receivedAt time.Duration) (staysOpen bool) {
+func (client *ClientConn) dispatch(request *wire.Request) (staysOpen bool) {
 	client.beginRequest(request.Close)
 	defer func() { client.admitted = false }()
 	switch request.Path {
@@ -40,7 +40,7 @@
 		client.postRefused()
 		return client.respondNow(Text(http.StatusNotImplemented, reason))
 	}
-	return client.dispatchQuery(request, class, receivedAt)
+	return client.dispatchQuery(request, class)
 }
 
 // Errors for requests with an unknown path or an unsupported method.
@@ -97,13 +97,20 @@
 }
 
 // dispatchQuery parses a query and passes it to the event loop.
-func (client *ClientConn) dispatchQuery(request *wire.Request, class Class, receivedAt time.Duration) (staysOpen bool) {
+func (client *ClientConn) dispatchQuery(request *wire.Request, class Class) (staysOpen bool) {
 	server := client.server
+	receivedAt, known := client.receivedAt()
 	query, err := wire.ReadQuery(request, wire.QueryRules{MaxTimeout: class.MaxTimeout, TwoPhase: class.TwoPhase})
 	if err != nil {
 		return client.respondError(err)
 	}
-	arrival := Arrival{Client: client, Query: query, ReceivedAt: receivedAt, ParsedAt: server.now()}
+	arrival := Arrival{
+		Client:          client,
+		Query:           query,
+		ReceivedAt:      receivedAt,
+		ReceivedAtKnown: known,
+		ParsedAt:        server.now(),
+	}
 	return server.loop.Post(func() { server.handler.QueryArrived(arrival) })
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -53,10 +53,11 @@
 
 // Arrival is a query received from a client.
 type Arrival struct {
-	Client     *ClientConn
-	Query      *wire.Query
-	ReceivedAt time.Duration // loop time at which its last byte was received, as far as known
-	ParsedAt   time.Duration // loop time at which it was parsed and posted to the loop
+	Client          *ClientConn
+	Query           *wire.Query
+	ReceivedAt      time.Duration // loop time at which the operating system received its last byte, or at which it was read
+	ReceivedAtKnown bool          // false: ReceivedAt is when it was read, as the operating system does not report more
+	ParsedAt        time.Duration // loop time at which it was parsed and posted to the loop
 }
 
 // Class configures the requests of one class of queries.
