--- a/coordinator/invariants.go
+++ b/coordinator/invariants.go
@@ -91,8 +91,8 @@
 	return reason
 }
 
-// mayWrite reports whether an attempt may be written now, and records that it is. It is called by its connection's writer, which holds the
-// connection's mutex.
+// mayWrite reports whether an attempt may be written now, and records that it is. It is called by its connection's
+// writer, which holds the connection's mutex.
 func (c *Coordinator) mayWrite(attempt *attemptState, now time.Duration) bool {
 	reason := attempt.snapshot(now).Check()
 	if reason != invariant.Allowed {
--- a/coordinator/keyuse_test.go
+++ b/coordinator/keyuse_test.go
@@ -22,8 +22,8 @@
 	return c, subquery.attempts
 }
 
-// Guards against a keyed subquery taking effect twice: the first attempt may wait for its connection while a hedge of it
-// runs. Then it is the later one, and must be written within the window that began with the hedge.
+// Guards against a keyed subquery taking effect twice: the first attempt may wait for its connection while a hedge of
+// it runs. Then it is the later one, and must be written within the window that began with the hedge.
 func TestKeyedAttemptsAreWrittenWithinOneWindow(t *testing.T) {
 	for _, test := range []struct {
 		name  string
--- a/eventloop/loop.go
+++ b/eventloop/loop.go
@@ -1,14 +1,14 @@
 // Package eventloop runs functions one after the other on a single goroutine, so that the state they share needs no
 // locks.
 //
-// Each iteration of a loop runs, in this order: the urgent functions posted by other goroutines, the functions scheduled
-// with NextIteration during the previous iteration, the other functions posted, the timers that are due, and finally the
-// owner's end-of-iteration function.
+// Each iteration of a loop runs, in this order: the urgent functions posted by other goroutines, the functions
+// scheduled with NextIteration during the previous iteration, the other functions posted, the timers that are due, and
+// finally the owner's end-of-iteration function.
 //
 // The loop also detects that its process was stalled (a stopped machine, a starved core) or that an iteration took as
 // long as a stall. Without that, timeouts and arrival times taken after a stall would be wrong; see
-// Loop.EarliestArrival. After a stall no iteration starts before urgent input that has arrived is posted (WaitAfterStall),
-// and other goroutines can tell that the loop has not run since (IsBehind).
+// Loop.EarliestArrival. After a stall no iteration starts before urgent input that has arrived is posted
+// (WaitAfterStall), and other goroutines can tell that the loop has not run since (IsBehind).
 package eventloop
 
 import (
--- a/eventloop/stall_test.go
+++ b/eventloop/stall_test.go
@@ -83,7 +83,8 @@
 	}()
 	began := time.Now()
 	loop.detectStallAndCatchUp(loop.Since(began) - time.Second)
-	if took := time.Since(began); took < maxCatchUp || took > 20*maxCatchUp { // the bound leaves room for a busy machine
+	const mostOnABusyMachine = 20 * maxCatchUp
+	if took := time.Since(began); took < maxCatchUp || took > mostOnABusyMachine {
 		t.Errorf("the loop waited %v", took)
 	}
 	loop.RunIteration(func() {}, func() {})
--- a/internal/netconn/peek_test.go
+++ b/internal/netconn/peek_test.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// A reset must reach the connection's reader even if HasInput was asked before: a reader that saw an orderly end instead
-// would take an incomplete message for a complete one.
+// A reset must reach the connection's reader even if HasInput was asked before: a reader that saw an orderly end
+// instead would take an incomplete message for a complete one.
 func TestHasInputLeavesAResetToTheReader(t *testing.T) {
 	near, far := tcpPair(t)
 	if HasInput(near) {
--- a/internal/replicaproto/call.go
+++ b/internal/replicaproto/call.go
@@ -26,8 +26,8 @@
 	// time that remains until then when the call's first byte is written.
 	Deadline time.Duration
 	// Permit is called when the first byte is about to be written, and again before the last one if that had to wait,
-	// with the connection's mutex held. If it returns false, or less than MinTimeLeft remains at the first byte, the call
-	// is never written, or never completed. A nil Permit permits every call.
+	// with the connection's mutex held. If it returns false, or less than MinTimeLeft remains at the first byte, the
+	// call is never written, or never completed. A nil Permit permits every call.
 	Permit func(now time.Duration) bool
 
 	Stage  Stage
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -39,7 +39,7 @@
 	countAnsweredLate        = "answered_late"
 	countServed              = "served"
 	countRefused             = "refused"
-	countFailed              = "failed"
+	countFailed              = "queries_failed"
 	countFramesNotChecked    = "frames_not_judged"
 	countMaxSlowStartPercent = "slow_start_most_percent" // maximum load of a cold replica, in percent of the limit
 	countFaultPrefix         = "trouble_"                // followed by a FaultKind
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -13,8 +13,9 @@
 // Repeats: an idempotent subquery may have as many attempts as MaxAttempts allows. So may a keyed one, but all attempts
 // must be written within the window that begins with the first that may have run. The scheduler sends none after it
 // (scheduler/retry.go), but an attempt may wait for its connection past the end of the window. A non-idempotent
-// subquery may have another attempt only if each earlier one provably never ran, that is, if its Evidence is NeverRan. The Evidence of an attempt is derived
-// from its outcome in coordinator/invariants.go. Attempt.checkRepeat implements the rule.
+// subquery may have another attempt only if each earlier one provably never ran, that is, if its Evidence is NeverRan.
+// The Evidence of an attempt is derived from its outcome in coordinator/invariants.go. Attempt.checkRepeat implements
+// the rule.
 package invariant
 
 import (
--- a/invariant/invariant_test.go
+++ b/invariant/invariant_test.go
@@ -48,7 +48,7 @@
 	for _, attempt := range []Attempt{
 		{Effect: NonIdempotent, Earlier: []Evidence{NeverRan, NeverRan}},
 		{Effect: Idempotent, Earlier: []Evidence{Running, MayRun}},
-		{Effect: Keyed, Earlier: []Evidence{MayRun}, Key: KeyUse{Used: true, Age: time.Second - 1, Window: time.Second}},
+		{Effect: Keyed, Earlier: []Evidence{MayRun}, Key: KeyUse{Used: true, Age: 1, Window: 2}},
 		{Effect: Keyed, Earlier: []Evidence{NeverRan}},
 	} {
 		attempt.TimeLeft = time.Second
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -7,7 +7,8 @@
 // non-idempotent one only if no earlier attempt can have run. An attempt that ended as Overloaded, Unreachable or
 // NeverSent cannot have run (results.go); one in flight, or with any other outcome, may have. connpool/evidence.go
 // determines the outcome that the end of a connection proves. Package invariant checks non-idempotent and keyed
-// subqueries once more. For the latter it does so again when the attempt is written: it may have waited for a connection.
+// subqueries once more. For the latter it does so again when the attempt is written, as that may have to wait for a
+// connection.
 //
 // Further attempts are limited by the number of attempts allowed for a subquery, by the deployment's retry budget (a
 // share of the queries and subqueries that arrived within a span of time, and a fixed number) and by the tokens that
--- a/server/server.go
+++ b/server/server.go
@@ -55,8 +55,8 @@
 type Arrival struct {
 	Client          *ClientConn
 	Query           *wire.Query
-	ReceivedAt      time.Duration // loop time at which the operating system received its last byte, or at which it was read
-	ReceivedAtKnown bool          // false: ReceivedAt is when it was read, as the operating system does not report more
+	ReceivedAt      time.Duration // loop time at which the operating system received its last byte
+	ReceivedAtKnown bool          // false: ReceivedAt is when it was read, as the operating system reports nothing
 	ParsedAt        time.Duration // loop time at which it was parsed and posted to the loop
 }
 
