Withhold replies for the first eight values of one size only, not for the first 64

A cut value has another size than the usual one, so eight values in a row tell enough for a reply that nothing follows. Where bytes do follow, 64 are asked for as before, 4,096 once sizes have varied. TestValueCutShortByItsLengthIsNotServed and the tests of wire and http2 pass.

--- a/internal/replicaproto/http2/response.go
+++ b/internal/replicaproto/http2/response.go
@@ -222,9 +222,10 @@
 func (session *Session) confirmReply() (confirmed bool, err error) {
 	size := len(session.withheld.Value)
 	input := session.input.Bytes()
-	if !session.valueSizes.IsUsual(size) {
-		if _, err := payloadLength(input); err != nil {
-			return false, err
+	_, malformed := payloadLength(input)
+	if !session.valueSizes.IsUsual(size, malformed != nil) {
+		if malformed != nil {
+			return false, malformed
 		}
 		if len(input) < frameHeaderSize && !session.released {
 			return false, nil
