Let writers wait for the loop without polling

After a stall each connection's writer looked every millisecond whether the loop had run again: many wakeups on a core that is already late. They now wait on a condition that the loop signals.

--- a/eventloop/loop.go
+++ b/eventloop/loop.go
@@ -8,13 +8,13 @@
 // The loop also detects that its process was stalled (a stopped machine, a starved core) or that an iteration took as
 // long as a stall. Without that, timeouts and arrival times taken after a stall would be wrong; see
 // Loop.EarliestArrival. After a stall no iteration starts before urgent input that has arrived is posted
-// (WaitAfterStall), and other goroutines can tell that the loop has not run since (IsBehind).
+// (WaitAfterStall), and other goroutines can wait until the loop has run again (IsBehind, AwaitIteration).
 package eventloop
 
 import (
 	"fmt"
 	"runtime/debug"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
@@ -47,8 +47,9 @@
 	lastCompleted time.Duration // time of the last iteration that ended without a panic
 	caughtUp      func() bool   // see WaitAfterStall; may be nil
 
-	running     atomic.Bool  // Run is running
-	urgentUntil atomic.Int64 // time, since start, of the last iteration that has called its urgent functions
+	iterated    *sync.Cond    // signalled when the fields below change; its mutex guards them
+	running     bool          // Run is running
+	urgentUntil time.Duration // time, since start, of the last iteration that has called its urgent functions
 }
 
 // New returns a loop whose clock starts now.
@@ -59,6 +60,7 @@
 		urgent:       make(chan func(), urgentCapacity),
 		ended:        make(chan struct{}),
 		timersByName: map[string]*Timer{},
+		iterated:     sync.NewCond(&sync.Mutex{}),
 	}
 }
 
@@ -113,8 +115,8 @@
 	clock := time.NewTimer(0)
 	defer clock.Stop()
 	defer close(loop.ended)
-	loop.running.Store(true)
-	defer loop.running.Store(false)
+	loop.setRunning(true)
+	defer loop.setRunning(false)
 	for !finished() {
 		loop.wait(clock)
 		cause := Recover(func() { loop.RunIteration(func() {}, endIteration) })
@@ -192,7 +194,17 @@
 		loop.taken = loop.taken[1:]
 		do()
 	}
-	loop.urgentUntil.Store(int64(loop.now))
+	loop.iterated.L.Lock()
+	loop.urgentUntil = loop.now
+	loop.iterated.L.Unlock()
+	loop.iterated.Broadcast()
+}
+
+func (loop *Loop) setRunning(running bool) {
+	loop.iterated.L.Lock()
+	loop.running = running
+	loop.iterated.L.Unlock()
+	loop.iterated.Broadcast()
 }
 
 // takeUrgent takes the urgent functions from their queue, so that their senders need not wait.
--- a/eventloop/stall.go
+++ b/eventloop/stall.go
@@ -52,7 +52,23 @@
 // that the process or the loop must have been stalled. What the loop has decided before may then be outdated. It may be
 // called from any goroutine.
 func (loop *Loop) IsBehind(now time.Duration) bool {
-	return loop.running.Load() && now-time.Duration(loop.urgentUntil.Load()) > behindThreshold
+	loop.iterated.L.Lock()
+	defer loop.iterated.L.Unlock()
+	return loop.isBehind(now)
+}
+
+// AwaitIteration waits until the loop is no longer behind. It may be called from any goroutine but the loop's own.
+func (loop *Loop) AwaitIteration() {
+	loop.iterated.L.Lock()
+	defer loop.iterated.L.Unlock()
+	for loop.isBehind(loop.Since(time.Now())) {
+		loop.iterated.Wait()
+	}
+}
+
+// isBehind is IsBehind for a caller that holds the mutex of iterated.
+func (loop *Loop) isBehind(now time.Duration) bool {
+	return loop.running && now-loop.urgentUntil > behindThreshold
 }
 
 // LateBy returns the larger of two durations: how much later than due the current iteration started, and how long
--- a/replicaconn/writer.go
+++ b/replicaconn/writer.go
@@ -15,8 +15,6 @@
 	writeTimeout = 60 * time.Millisecond
 	// writeSize is the approximate number of bytes per write. Calls behind them can still be withdrawn.
 	writeSize = 16 << 10
-	// loopRecheck is the time between two looks whether the event loop has run again.
-	loopRecheck = time.Millisecond
 	// lastReplyTimeout is how long replies are still read on a connection that can no longer be written to.
 	lastReplyTimeout = time.Second
 )
@@ -65,7 +63,7 @@
 	defer conn.mu.Unlock()
 	for !conn.closing {
 		if conn.driver.loop.IsBehind(conn.now()) {
-			conn.pause()
+			conn.awaitLoop()
 			continue
 		}
 		output = conn.session.Output(buffer, writeSize, conn.now())
@@ -80,13 +78,12 @@
 	return buffer, true
 }
 
-// pause releases the connection's mutex for a moment. The writer waits so for the loop after a stall: what the loop has
-// decided may be outdated, for instance because a replica began to drain meanwhile, and the loop's next iteration
-// may withdraw it.
-func (conn *conn) pause() {
+// awaitLoop waits for the event loop after a stall, without the connection's mutex: what the loop has decided may be
+// outdated, for instance because a replica began to drain meanwhile, and its next iteration may withdraw it.
+func (conn *conn) awaitLoop() {
 	conn.mu.Unlock()
 	defer conn.mu.Lock()
-	time.Sleep(loopRecheck)
+	conn.driver.loop.AwaitIteration()
 }
 
 // writeFinal writes the last message on a connection, where the protocol has one.
