--- a/internal/replicaproto/http2/response.go
+++ b/internal/replicaproto/http2/response.go
@@ -222,10 +222,9 @@
 func (session *Session) confirmReply() (confirmed bool, err error) {
 	size := len(session.withheld.Value)
 	input := session.input.Bytes()
-	_, malformed := payloadLength(input)
-	if !session.valueSizes.IsUsual(size, malformed != nil) {
-		if malformed != nil {
-			return false, malformed
+	if !session.valueSizes.IsUsual(size) {
+		if _, err := payloadLength(input); err != nil {
+			return false, err
 		}
 		if len(input) < frameHeaderSize && !session.released {
 			return false, nil
--- a/internal/wire/replies.go
+++ b/internal/wire/replies.go
@@ -72,8 +72,8 @@
 func (reader *ReplyReader) confirm() (*Reply, error) {
 	reply := reader.withheld
 	hasValue := reply.Status == ReplyOK
+	isUsual := hasValue && reader.Sizes.IsUsual(len(reply.Value))
 	following, err := parseFrameHeader(reader.Bytes())
-	isUsual := hasValue && reader.Sizes.IsUsual(len(reply.Value), err != nil)
 	switch {
 	case isUsual:
 	case err != nil:
--- a/internal/wire/sizes.go
+++ b/internal/wire/sizes.go
@@ -3,14 +3,10 @@
 import "sync"
 
 const (
-	// minRunAlone is the number of consecutive values of one size after which a value of that size is not withheld if
-	// nothing follows it.
-	minRunAlone = 8
-	// minRunWithNoise replaces minRunAlone if bytes follow that are not a message: they are more likely to be the rest of
-	// a value that is cut short.
-	minRunWithNoise = 64
-	// minRunIfVaried replaces both once values of several sizes were received: rare sizes then exist.
-	minRunIfVaried = 4096
+	// minUsualRun is the number of consecutive values of one size after which that size is the usual one.
+	minUsualRun = 16
+	// minVariedRun replaces minUsualRun once values of several sizes were received: rare sizes then exist.
+	minVariedRun = 4096
 )
 
 // ValueSizes tracks whether the values of replicas all have the same size. A value of that usual size is complete: a
@@ -19,24 +15,21 @@
 type ValueSizes struct {
 	mu     sync.Mutex
 	size   int  // of the last value
-	run    int  // number of consecutive values of that size, up to minRunIfVaried; 0: no value yet
+	run    int  // number of consecutive values of that size, up to minVariedRun; 0: no value yet
 	varied bool // the values had several sizes
 }
 
 // IsUsual reports whether a value has the size that all values before it had. It returns false while there were too
-// few to tell; noiseFollows says that bytes follow which are not a message.
-func (sizes *ValueSizes) IsUsual(size int, noiseFollows bool) bool {
+// few to tell.
+func (sizes *ValueSizes) IsUsual(size int) bool {
 	if sizes == nil {
 		return false
 	}
 	sizes.mu.Lock()
 	defer sizes.mu.Unlock()
-	required := minRunAlone
-	switch {
-	case sizes.varied:
-		required = minRunIfVaried
-	case noiseFollows:
-		required = minRunWithNoise
+	required := minUsualRun
+	if sizes.varied {
+		required = minVariedRun
 	}
 	return size == sizes.size && sizes.run >= required
 }
@@ -50,7 +43,7 @@
 	defer sizes.mu.Unlock()
 	if size == sizes.size || sizes.run == 0 {
 		sizes.size = size
-		sizes.run = min(sizes.run+1, minRunIfVaried)
+		sizes.run = min(sizes.run+1, minVariedRun)
 		return
 	}
 	sizes.size = size
