--- a/internal/wire/sizes.go
+++ b/internal/wire/sizes.go
@@ -4,7 +4,7 @@
 
 const (
 	// minUsualRun is the number of consecutive values of one size after which that size is the usual one.
-	minUsualRun = 16
+	minUsualRun = 8
 	// minVariedRun replaces minUsualRun once values of several sizes were received: rare sizes then exist.
 	minVariedRun = 4096
 )
--- a/replicaconn/reader.go
+++ b/replicaconn/reader.go
@@ -19,9 +19,9 @@
 	// messageTimeoutFactor times the fragment timeout is the limit for a whole message, from its first byte.
 	messageTimeoutFactor = 4
 	// replyConfirmation is how long a session withholds a reply that nothing follows. If a length in it is too small,
-	// the rest is expected within this time, which is longer than a delayed ACK (40 ms) holds back a small write. It
-	// adds to the latency of queries while value sizes vary or are not known yet.
-	replyConfirmation = 50 * time.Millisecond
+	// the rest is expected within this time: the pieces of a message arrive one right after the other. It adds to the
+	// latency of queries while value sizes vary or are not known yet.
+	replyConfirmation = 20 * time.Millisecond
 	// recheckWait is the deadline for one more read after the read deadline has passed: if this process was stalled
 	// past the deadline, input that arrived in time may not have been read yet.
 	recheckWait = 5 * time.Millisecond
