Do not withhold JSON objects and arrays, which show by themselves that they are complete

No part of a JSON object or array is one, so a reply with one is returned at once if nothing follows it; if other bytes do, it is malformed as before. The tests of wire, http2 and replicaconn pass, and in cmd/terntray those of cut and two-phase replies.

--- a/internal/replicaproto/http2/response.go
+++ b/internal/replicaproto/http2/response.go
@@ -217,8 +217,8 @@
 	return nil
 }
 
-// confirmReply emits the withheld reply if its value has the usual size, the start of another frame follows it, or it
-// was released. It returns false while none of these is known, and an error if bytes follow that are not a frame.
+// confirmReply emits the withheld reply if its value has the usual size or is self-delimiting, the start of another
+// frame follows it, or it was released. It returns false while none of these is known, and an error if bytes follow that are not a frame.
 func (session *Session) confirmReply() (confirmed bool, err error) {
 	size := len(session.withheld.Value)
 	input := session.input.Bytes()
@@ -226,7 +226,8 @@
 		if _, err := payloadLength(input); err != nil {
 			return false, err
 		}
-		if len(input) < frameHeaderSize && !session.released {
+		hasFollower := len(input) >= frameHeaderSize
+		if !hasFollower && !session.released && !wire.IsSelfDelimiting(session.withheld.Value) {
 			return false, nil
 		}
 	}
--- a/internal/wire/replies.go
+++ b/internal/wire/replies.go
@@ -39,7 +39,7 @@
 //
 // The length of a frame may be wrong. If it is too small, the frame looks like a good one with a shorter value, and the
 // rest of the value follows it. So an OK reply is withheld until the start of another frame follows, unless its value
-// has the usual size. A reply that is followed by anything else is malformed. As a frame that nothing follows may be
+// has the usual size or is self-delimiting. A reply that is followed by anything else is malformed. As a frame that nothing follows may be
 // the last one for a while, the caller releases a reply that has been withheld for long enough.
 type ReplyReader struct {
 	Buffer
@@ -78,7 +78,7 @@
 	case isUsual:
 	case err != nil:
 		return nil, malformed("reply with a value of %d bytes followed by bytes that are not a frame", len(reply.Value))
-	case hasValue && !following.complete && !reader.released:
+	case hasValue && !following.complete && !reader.released && !IsSelfDelimiting(reply.Value):
 		return nil, nil
 	}
 	if hasValue {
--- a/internal/wire/replies_test.go
+++ b/internal/wire/replies_test.go
@@ -167,6 +167,28 @@
 	}
 }
 
+// A JSON object or array is returned at once, as no part of it is one. A part of it, or any other value, is withheld.
+func TestSelfDelimitingValueIsNotWithheld(t *testing.T) {
+	const object = `{"version":"a}","count":3,"upper":1.5}`
+	for value, want := range map[string]bool{object: true, `[1,{"a":[]}]`: true, "17": false, `"a"`: false, "": false} {
+		if got := IsSelfDelimiting([]byte(value)); got != want {
+			t.Errorf("%q is self-delimiting: %t", value, got)
+		}
+	}
+	for size := range len(object) {
+		if IsSelfDelimiting([]byte(object[:size])) {
+			t.Errorf("the part %q is self-delimiting", object[:size])
+		}
+	}
+	for value, want := range map[string]bool{object: true, object[:20]: false} {
+		var reader ReplyReader
+		reader.Feed(frameOf('Y', "a.1 OK 0 -\n"+value))
+		if reply, err := reader.Next(); (reply != nil) != want || err != nil {
+			t.Errorf("%q: reply %v, error %v", value, reply, err)
+		}
+	}
+}
+
 // sizesOf returns the sizes of one value of each of the sizes but the last, then of count values of the last.
 func sizesOf(count int, sizes ...int) *ValueSizes {
 	recorded := &ValueSizes{}
--- a/internal/wire/sizes.go
+++ b/internal/wire/sizes.go
@@ -1,6 +1,9 @@
 package wire
 
-import "sync"
+import (
+	"encoding/json"
+	"sync"
+)
 
 const (
 	// minUsualRun is the number of consecutive values of one size after which that size is the usual one.
@@ -34,6 +37,12 @@
 	return size == sizes.size && sizes.run >= required
 }
 
+// IsSelfDelimiting reports whether a value shows by itself that it is complete: no shorter part of a JSON object or array
+// is one, but for white space behind it.
+func IsSelfDelimiting(value []byte) bool {
+	return len(value) > 0 && (value[0] == '{' || value[0] == '[') && json.Valid(value)
+}
+
 // Record records the size of a complete value.
 func (sizes *ValueSizes) Record(size int) {
 	if sizes == nil {
