End the wait for a withheld reply whenever its session withholds none

Read once more: the reader ended that wait only when an event came out, so a session that withheld nothing more without one would have had it read in a loop without end. None is known that does; the wait now ends by the session's word. Tests of wire, replicaproto and replicaconn pass.

--- a/internal/replicaproto/http2/response.go
+++ b/internal/replicaproto/http2/response.go
@@ -218,7 +218,8 @@
 }
 
 // confirmReply emits the withheld reply if its value has the usual size or is self-delimiting, the start of another
-// frame follows it, or it was released. It returns false while none of these is known, and an error if bytes follow that are not a frame.
+// frame follows it, or it was released. It returns false while none of these is known, and an error if bytes follow
+// that are not a frame.
 func (session *Session) confirmReply() (confirmed bool, err error) {
 	size := len(session.withheld.Value)
 	input := session.input.Bytes()
--- a/internal/wire/replies.go
+++ b/internal/wire/replies.go
@@ -39,8 +39,9 @@
 //
 // The length of a frame may be wrong. If it is too small, the frame looks like a good one with a shorter value, and the
 // rest of the value follows it. So an OK reply is withheld until the start of another frame follows, unless its value
-// has the usual size or is self-delimiting. A reply that is followed by anything else is malformed. As a frame that nothing follows may be
-// the last one for a while, the caller releases a reply that has been withheld for long enough.
+// has the usual size or is self-delimiting. A reply that is followed by anything else is malformed, unless its value
+// has the usual size. As a frame that nothing follows may be the last one for a while, the caller releases a reply that
+// has been withheld for long enough.
 type ReplyReader struct {
 	Buffer
 	Sizes *ValueSizes // shared by all connections; may be nil
--- a/replicaconn/withheld.go
+++ b/replicaconn/withheld.go
@@ -64,7 +64,9 @@
 		input.Events = input.Events[1:]
 		reader.withheld = withheldReply{}
 	}
-	if input.withholds && !reader.withheld.exists() {
+	if !input.withholds {
+		reader.withheld = withheldReply{}
+	} else if !reader.withheld.exists() {
 		reader.withheld = withheldReply{readAt: input.At, until: time.Now().Add(replyConfirmation)}
 	}
 }
