Look for the rest of a withheld reply without taking a reset from its reader

After a stall the reader looked by a peek whether more had come: that takes a reset from the connection, so that the read after it saw an orderly end and the reply was released; and it saw nothing under TLS. It now asks poll(2) of the socket.

--- a/cmd/terntray/stall_test.go
+++ b/cmd/terntray/stall_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -121,3 +123,28 @@
 		t.Error("no attempt was made after the stall")
 	}
 }
+
+// Guards against a value that is cut short being served after a stall: its rest arrives while the process stands still,
+// for longer than replies are withheld.
+func TestRestOfAReplyThatArrivesDuringAStallIsSeen(t *testing.T) {
+	const missing = 3
+	var program *process
+	replica := newReplica(t, "s-a", 0, func(replica *fake.Replica, call fake.Call) {
+		text := frameOf(fmt.Sprintf("Y%s OK 7 -\n%s", call.ID, value(replica, call.Shard)))
+		text = text[:3] + string(text[3]-missing) + text[4:]
+		io.WriteString(call.Conn, text[:len(text)-missing])
+		time.Sleep(3 * time.Millisecond) // for the reply to be read, which is then withheld
+		program.cmd.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(100 * time.Millisecond)
+		io.WriteString(call.Conn, text[len(text)-missing:])
+		program.cmd.Process.Signal(syscall.SIGCONT)
+	})
+	program, _ = startDeployment(t, settings, replica)
+	client := program.connect()
+	for n := range 5 {
+		client.send(query("claim", fmt.Sprint("q", n), 10, 3))
+		if answer := client.receive(); answer.status != http.StatusInternalServerError {
+			t.Errorf("round %d: status %d %s", n, answer.status, answer.body)
+		}
+	}
+}
--- a/replicaconn/withheld.go
+++ b/replicaconn/withheld.go
@@ -33,10 +33,10 @@
 	return reader.withheld.dueNext && errors.Is(input.err, os.ErrDeadlineExceeded)
 }
 
-// recheck lets one more read be made if input has arrived: a stall of this process may have delayed its reading. It
-// returns false if the withheld reply can be released.
+// recheck lets one more read be made if input, an end or an error has arrived: a stall of this process may have delayed
+// its reading. It returns false if the withheld reply can be released.
 func (reader *reader) recheck() bool {
-	if reader.rechecked || netconn.Peek(reader.stream) != netconn.Readable {
+	if reader.rechecked || !netconn.HasInput(reader.conn.socket) {
 		return false
 	}
 	reader.rechecked = true
