--- a/cmd/terntray/keyed_test.go
+++ b/cmd/terntray/keyed_test.go
@@ -100,6 +100,21 @@
 	}
 }
 
+// Guards against the same for a retry that waits for a place: the replica allows no streams until the window has passed.
+func TestKeyedRetryThatWaitsForAStreamIsWithdrawnWithItsWindow(t *testing.T) {
+	tried, full := newReplica(t, "s-a", 0, silent), newHTTP2Replica(t, "s-b", 0, succeed)
+	full.SetStreamLimit(0)
+	program, client, arrived := firstAttempt(t, tried, full)
+	fake.Fail(tried, tried.Received()[0])
+	waitFor(t, "a retry waits", func() bool { return program.counters()["retries"] == 1 })
+	expectFailure(t, client, arrived)
+	full.SetStreamLimit(100)
+	time.Sleep(100 * time.Millisecond) // for a call
+	if full.HasReceived("q1") {
+		t.Errorf("the subquery was sent again %v after its first attempt", time.Since(arrived))
+	}
+}
+
 // A retry within the window is sent and answered.
 func TestKeyedRetryWithinItsWindowIsServed(t *testing.T) {
 	tried, other := newReplica(t, "s-a", 0, silent), newReplica(t, "s-b", 0, succeed)
--- a/coordinator/keyuse_test.go
+++ b/coordinator/keyuse_test.go
@@ -8,7 +8,11 @@
 	"terntray/scheduler"
 )
 
-const testKeyWindow = 400 * time.Millisecond
+const (
+	testKeyWindow = 400 * time.Millisecond
+
+	stillRunning scheduler.Outcome = -1 // in place of the outcome of an attempt that has none yet
+)
 
 // newKeyedAttempts returns a coordinator and several attempts of one keyed subquery. No attempt has been written.
 func newKeyedAttempts(t *testing.T, count int) (*Coordinator, []*attemptState) {
@@ -38,6 +42,8 @@
 		{"after a timeout", testKeyWindow, scheduler.TimedOut, false},
 		{"after a rejection", testKeyWindow, scheduler.Overloaded, true},
 		{"after a failed connect", testKeyWindow, scheduler.Unreachable, true},
+		{"hedge within the window", testKeyWindow - 1, stillRunning, true},
+		{"hedge after the window", testKeyWindow, stillRunning, false},
 	} {
 		for _, order := range [][]int{{0, 1}, {1, 0}} {
 			c, attempts := newKeyedAttempts(t, 2)
@@ -46,7 +52,9 @@
 			if !c.mayWrite(other, now) {
 				t.Fatal("the only attempt may not be written")
 			}
-			c.markEnded(other, test.ended)
+			if test.ended != stillRunning {
+				c.markEnded(other, test.ended)
+			}
 			if got := c.mayWrite(last, now+test.age); got != test.want {
 				t.Errorf("%s, attempt %d after attempt %d: may be written: %t", test.name, order[1], order[0], got)
 			}
