--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -37,7 +37,8 @@
 
 // cases are the cases by name. An error means that the case could not run.
 var cases = map[string]func(*setup) (verdict, error){
-	"stuck-clients": stuckClients,
+	"late-remainder": lateRemainder,
+	"stuck-clients":  stuckClients,
 }
 
 func main() {
