--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -37,8 +37,8 @@
 
 // cases are the cases by name. An error means that the case could not run.
 var cases = map[string]func(*setup) (verdict, error){
+	"several-drains": severalDrains,
 	"long-length":    longLength,
-	"ended-watch":    endedWatch,
 	"late-remainder": lateRemainder,
 	"older-list":     olderList,
 	"stuck-clients":  stuckClients,
