--- a/review/standin2/drains.go
+++ b/review/standin2/drains.go
@@ -12,15 +12,15 @@
 
 // The times of the case with several drains.
 const (
-	drainsLast     = 22 * time.Second
+	drainsLast     = 26 * time.Second
 	drainsStall    = 1190 * time.Millisecond // of the co-ordinator, each time
 	drainsFirst    = 3 * time.Second         // until the first standstill
 	drainsGap      = 4 * time.Second         // from the start of a standstill to that of the next
-	drainsStalls   = 4
+	drainsStalls   = 5
 	drainsAfter    = 20 * time.Millisecond // from the start of a standstill to the first drain
 	drainsApart    = 30 * time.Millisecond // between two drains
-	drainsTogether = 3                     // replicas that begin to drain in one standstill: a quarter
-	drainsReplicas = 12
+	drainsTogether = 2                     // replicas that begin to drain in one standstill
+	drainsReplicas = 16
 	drainsClients  = 200
 	drainsEach     = 1550 * time.Millisecond // between two requests of a client: 129 requests a second in all
 	drainsTold     = time.Second + 50*time.Millisecond
@@ -100,8 +100,8 @@
 	return verdict{broken: tooLate > 0, summary: summary}, nil
 }
 
-// drainDuringStandstills lets the co-ordinator stand still several times, and in the second and third of them replicas
-// begin to drain. It returns when the agent had each drain.
+// drainDuringStandstills lets the co-ordinator stand still several times; in each but the first, replicas begin to drain.
+// It returns when the agent had each drain.
 func drainDuringStandstills(setup *setup, agent *agent, coordinator *coordinator) (drainedAt []time.Time) {
 	time.Sleep(drainsFirst)
 	for n := range drainsStalls {
@@ -110,7 +110,7 @@
 			coordinator.signal(syscall.SIGSTOP)
 			setup.record.add("the co-ordinator stands still")
 		}
-		if n == 1 || n == 2 {
+		if n > 0 {
 			time.Sleep(drainsAfter)
 			for range drainsTogether {
 				uid := fmt.Sprintf("s-%d", len(drainedAt))
