--- a/review/standin2/agent.go
+++ b/review/standin2/agent.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -41,6 +42,7 @@
 	changed map[string]int64 // by uid: the revision of its last change
 	wake    chan struct{}    // closed at the next change
 	told    map[string]time.Time
+	watches map[*http.Request]net.Conn // open ones
 }
 
 // startAgent starts an agent that has a whole list.
@@ -53,14 +55,30 @@
 	started := &agent{
 		name: name, record: record, listener: listener, whole: whole,
 		changed: map[string]int64{}, wake: make(chan struct{}), told: map[string]time.Time{},
+		watches: map[*http.Request]net.Conn{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /discovery/hosts", started.answer)
-	started.server = &http.Server{Handler: mux}
+	started.server = &http.Server{Handler: mux, ConnContext: func(parent context.Context, conn net.Conn) context.Context {
+		return context.WithValue(parent, connKey{}, conn)
+	}}
 	go func() { _ = started.server.Serve(listener) }()
 	return started, nil
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// endWatches closes the connections of all open watches, without an answer.
+func (agent *agent) endWatches() {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	for _, conn := range agent.watches {
+		_ = conn.Close()
+	}
+	agent.record.add("agent %s ended %d open watches", agent.name, len(agent.watches))
+}
+
 func (agent *agent) address() string { return agent.listener.Addr().String() }
 
 // stopListening lets the agent take no new connection, and closes the open ones after a time.
@@ -102,6 +120,14 @@
 		return
 	}
 	hold, _ := strconv.Atoi(request.URL.Query().Get("hold_ms"))
+	agent.mu.Lock()
+	agent.watches[request], _ = request.Context().Value(connKey{}).(net.Conn)
+	agent.mu.Unlock()
+	defer func() {
+		agent.mu.Lock()
+		defer agent.mu.Unlock()
+		delete(agent.watches, request)
+	}()
 	over := time.After(time.Duration(hold) * time.Millisecond)
 	for {
 		agent.mu.Lock()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -37,7 +37,7 @@
 
 // cases are the cases by name. An error means that the case could not run.
 var cases = map[string]func(*setup) (verdict, error){
-	"several-drains": severalDrains,
+	"ended-watch":    endedWatch,
 	"long-length":    longLength,
 	"late-remainder": lateRemainder,
 	"older-list":     olderList,
