Review: a killed script leaves no co-ordinator behind

Cause: SIGKILL of a script of the cases 6 to 10 left the co-ordinator, also a stopped one. Change: the kernel kills it when the stand-in ends.

--- a/review/standin2/coordinator.go
+++ b/review/standin2/coordinator.go
@@ -85,6 +85,8 @@
 	}
 	started.process = exec.Command("/bin/sh", "-c", command)
 	started.process.Dir = setup.root
+	// The kernel kills the co-ordinator if this process ends in any other way, also if it is killed.
+	started.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started.process.Stderr = started.stderr
 	started.process.Env = append(os.Environ(), "ROUTER_CONFIG="+started.path, "ROUTER_NAME="+file.Name,
 		"ROUTER_LISTEN="+file.Listen, "ROUTER_DISCOVERY="+file.Discovery)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"time"
 )
@@ -44,6 +45,10 @@
 	"stuck-clients":  stuckClients,
 }
 
+// init keeps the main goroutine on the main thread, which lives as long as the process: it starts the co-ordinator, and
+// the kernel's notice of a parent's death goes by the thread that started the child.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	os.Exit(run(os.Args))
 }
