Judge by evidence whether a value was cut; withhold only what may have been

Cause: a reply of unusual size was released as good after 20 ms, though replicas stand still for up to 300 ms within a message; that wait also hit each sound value where sizes differ. Change: package valuecheck judges a value by its size among those before, by whether lengths have been right, and by JSON's end; only an uncertain one is withheld, for what follows it or 350 ms.

--- a/internal/fake/frames.go
+++ b/internal/fake/frames.go
@@ -13,11 +13,12 @@
 )
 
 const (
-	maxFrameBytes = 1 << 20
-	callLetter    = 'R'
-	abandonLetter = 'A'
-	replyLetter   = 'Y'
-	callFields    = 4 // id, shard, d=MS, length of the text in bytes
+	maxFrameBytes    = 1 << 20
+	frameLengthBytes = 4
+	callLetter       = 'R'
+	abandonLetter    = 'A'
+	replyLetter      = 'Y'
+	callFields       = 4 // id, shard, d=MS, length of the text in bytes
 )
 
 // http2Preface begins an HTTP/2 connection (RFC 9113, 3.4). It cannot be mistaken for a frame, because its first four
--- a/internal/replicaproto/frames/session.go
+++ b/internal/replicaproto/frames/session.go
@@ -8,6 +8,7 @@
 
 	"terntray/internal/replicaproto"
 	"terntray/internal/wire"
+	"terntray/valuecheck"
 )
 
 // Session is the state machine of one connection.
@@ -24,10 +25,12 @@
 	abandoned string             // the subquery's ID
 }
 
-// New returns a session that writes up to maxCalls calls of one group in a frame. The value sizes, against which
-// replies are checked, may be nil.
-func New(maxCalls int, sizes *wire.ValueSizes) *Session {
-	return &Session{maxCalls: max(1, maxCalls), replies: wire.ReplyReader{Sizes: sizes}}
+// New returns a session that writes up to maxCalls calls of one group in a frame. The history, against which values are
+// checked, may be nil.
+func New(maxCalls int, values *valuecheck.History) *Session {
+	session := &Session{maxCalls: max(1, maxCalls)}
+	session.replies = wire.ReplyReader{Values: values}
+	return session
 }
 
 var _ replicaproto.Session = (*Session)(nil)
@@ -150,8 +153,8 @@
 	return event, true, nil
 }
 
-// WithholdsReply reports whether a reply is withheld until it is known what follows it.
-func (session *Session) WithholdsReply() bool { return session.replies.Withholds() }
+// Withheld returns the judgement of the reply that is withheld until it is known what follows it.
+func (session *Session) Withheld() (valuecheck.Judgement, bool) { return session.replies.Withheld() }
 
 // ReleaseReply lets Next return the withheld reply.
 func (session *Session) ReleaseReply() { session.replies.Release() }
--- a/internal/replicaproto/http2/frames_in.go
+++ b/internal/replicaproto/http2/frames_in.go
@@ -13,6 +13,7 @@
 
 	"terntray/internal/replicaproto"
 	"terntray/internal/wire"
+	"terntray/valuecheck"
 )
 
 // frameHeaderSize is the size of a frame's header in bytes (RFC 9113, 4.1).
@@ -23,11 +24,11 @@
 	input      wire.Buffer
 	frameInput bytes.Reader // the frame that is being read
 	decoder    *hpack.Decoder
-	headers    headerList           // the header list that is being received
-	events     []replicaproto.Event // that Next has not returned yet
-	withheld   *replicaproto.Event  // a reply that follows these events once its length is confirmed
-	released   bool                 // withheld may be returned although nothing follows it
-	idleFrames int                  // consecutive frames without progress
+	headers    headerList              // the header list that is being received
+	events     []replicaproto.Event    // that Next has not returned yet
+	withheld   *withheldReply          // it follows these events once its length is confirmed
+	lastValue  *valuecheck.Observation // of the last confirmed reply, until another frame follows it
+	idleFrames int                     // consecutive frames without progress
 }
 
 // Next returns the next event.
@@ -39,9 +40,13 @@
 			return event, true, nil
 		}
 		progressed, err := session.advance()
-		if err = session.handleError(err); err != nil || !progressed {
+		if err = session.handleError(err); err != nil {
+			session.noteMalformed()
 			return event, false, err
 		}
+		if !progressed {
+			return event, false, nil
+		}
 	}
 }
 
@@ -68,6 +73,9 @@
 	session.frameInput.Reset(input[:size])
 	frame, err := session.framer.ReadFrame()
 	session.input.Consume(size)
+	if err == nil {
+		session.lastValue = nil
+	}
 	return frame, err
 }
 
--- a/internal/replicaproto/http2/response.go
+++ b/internal/replicaproto/http2/response.go
@@ -197,8 +197,8 @@
 }
 
 // onResponseEnd handles the end of a response, by a DATA frame or by a header list, and reports the reply. A DATA frame
-// whose length is too small looks like a good one with a shorter value. If no content-length contradicts it, the reply
-// is withheld until it is known what follows.
+// whose length is wrong looks like a good one with another value. If there is no content-length to compare it with, the
+// reply is withheld until it is known what follows.
 func (session *Session) onResponseEnd(stream *stream, endedByData bool) error {
 	if stream.contentLength >= 0 && stream.contentLength != int64(len(stream.value)) {
 		return malformedResponse(stream) // RFC 9113, 8.1.1
@@ -210,37 +210,9 @@
 	session.removeStream(stream)
 	reply := replyEvent(stream)
 	if reply.Status == replicaproto.OK && endedByData && stream.contentLength < 0 {
-		session.withheld = &reply
+		session.withhold(stream.id, &reply)
 	} else {
 		session.emit(reply)
 	}
 	return nil
 }
-
-// confirmReply emits the withheld reply if its value has the usual size or is self-delimiting, the start of another
-// frame follows it, or it was released. It returns false while none of these is known, and an error if bytes follow
-// that are not a frame.
-func (session *Session) confirmReply() (confirmed bool, err error) {
-	size := len(session.withheld.Value)
-	input := session.input.Bytes()
-	if !session.valueSizes.IsUsual(size) {
-		if _, err := payloadLength(input); err != nil {
-			return false, err
-		}
-		hasFollower := len(input) >= frameHeaderSize
-		if !hasFollower && !session.released && !wire.IsSelfDelimiting(session.withheld.Value) {
-			return false, nil
-		}
-	}
-	session.valueSizes.Record(size)
-	session.emit(*session.withheld)
-	session.withheld = nil
-	session.released = false
-	return true, nil
-}
-
-// WithholdsReply reports whether a reply is withheld until it is known what follows it.
-func (session *Session) WithholdsReply() bool { return session.withheld != nil }
-
-// ReleaseReply lets Next return the withheld reply.
-func (session *Session) ReleaseReply() { session.released = session.withheld != nil }
--- a/internal/replicaproto/http2/session.go
+++ b/internal/replicaproto/http2/session.go
@@ -18,7 +18,7 @@
 	"golang.org/x/net/http2/hpack"
 
 	"terntray/internal/replicaproto"
-	"terntray/internal/wire"
+	"terntray/valuecheck"
 )
 
 const (
@@ -51,7 +51,7 @@
 	sending      []*stream            // streams with unsent body, the next to send first
 	lastStreamID uint32               // odd; 0: none yet
 
-	valueSizes     *wire.ValueSizes // shared by all connections; may be nil
+	values         *valuecheck.History // shared by all connections; may be nil
 	settings       replicaSettings
 	sendWindow     int64 // of the connection
 	receiveWindow  receiveWindow
@@ -70,13 +70,13 @@
 	streamWindow int64 // bytes; initial window of a new stream
 }
 
-// New returns a session. The scheme is http or https, the authority is the replica's address. The value sizes, against
-// which replies without a content-length are checked, may be nil.
-func New(scheme, authority string, sizes *wire.ValueSizes) *Session {
+// New returns a session. The scheme is http or https, the authority is the replica's address. The history, against
+// which values without a content-length are checked, may be nil.
+func New(scheme, authority string, values *valuecheck.History) *Session {
 	session := &Session{
 		scheme:        scheme,
 		authority:     authority,
-		valueSizes:    sizes,
+		values:        values,
 		streams:       map[uint32]*stream{},
 		settings:      replicaSettings{maxStreams: maxWindow, maxFrameSize: maxFrameSize, streamWindow: initialWindow},
 		sendWindow:    initialWindow,
--- /dev/null
+++ b/internal/replicaproto/http2/withheld.go
@@ -0,0 +1,83 @@
+package http2
+
+import (
+	"fmt"
+
+	"golang.org/x/net/http2"
+
+	"terntray/internal/replicaproto"
+	"terntray/valuecheck"
+)
+
+// withheldReply is a reply that has ended, but was not emitted yet.
+type withheldReply struct {
+	event     replicaproto.Event
+	value     valuecheck.Observation
+	content   valuecheck.Content
+	judgement valuecheck.Judgement // the last one
+	released  bool                 // it may be emitted although nothing follows it
+}
+
+// withhold withholds a reply until confirmReply emits it.
+func (session *Session) withhold(stream uint32, reply *replicaproto.Event) {
+	session.withheld = &withheldReply{
+		event:   *reply,
+		value:   session.values.Observe(reply.Value),
+		content: valuecheck.NoMessage,
+	}
+}
+
+// confirmReply emits the withheld reply if its value is judged to be complete, the start of another frame follows it, or
+// it was released. It returns false while none of these is known, and an error if the value contains other frames or
+// bytes follow that are not a frame.
+func (session *Session) confirmReply() (confirmed bool, err error) {
+	withheld := session.withheld
+	withheld.judgement = session.values.Judge(withheld.value, withheld.content)
+	verdict := withheld.judgement.Verdict
+	input := session.input.Bytes()
+	_, err = payloadLength(input)
+	hasFollower := len(input) >= frameHeaderSize
+	switch {
+	case verdict == valuecheck.Malformed:
+		return false, fmt.Errorf("%w: a value contains other frames", http2.ConnectionError(http2.ErrCodeProtocol))
+	case verdict == valuecheck.Complete:
+	case err != nil:
+		return false, err
+	case verdict == valuecheck.Uncertain && !hasFollower && !withheld.released:
+		return false, nil
+	}
+	session.values.Accept(withheld.value)
+	session.emit(withheld.event)
+	session.lastValue = &withheld.value
+	session.withheld = nil
+	return true, nil
+}
+
+// Withheld returns the judgement of the reply that is withheld until it is known what follows it.
+func (session *Session) Withheld() (valuecheck.Judgement, bool) {
+	if session.withheld == nil {
+		return valuecheck.Judgement{}, false
+	}
+	return session.withheld.judgement, true
+}
+
+// ReleaseReply lets Next return the withheld reply.
+func (session *Session) ReleaseReply() {
+	if session.withheld != nil {
+		session.withheld.released = true
+	}
+}
+
+// noteMalformed notes that the connection's input is malformed, and takes back the value before it: its length was
+// probably wrong.
+func (session *Session) noteMalformed() {
+	switch {
+	case session.withheld != nil:
+		session.values.Retract(session.withheld.value, false)
+	case session.lastValue != nil:
+		session.values.Retract(*session.lastValue, true)
+	}
+	session.withheld = nil
+	session.lastValue = nil
+	session.values.MalformedReceived()
+}
--- a/internal/replicaproto/session.go
+++ b/internal/replicaproto/session.go
@@ -1,6 +1,10 @@
 package replicaproto
 
-import "time"
+import (
+	"time"
+
+	"terntray/valuecheck"
+)
 
 // Session is the state machine of one connection. Its methods must not be called concurrently, except ReadBuffer.
 type Session interface {
@@ -32,9 +36,10 @@
 	// Next returns the next event. If it returns neither an event nor an error, more input is needed. After an error
 	// the connection is unusable, and Output returns its last message.
 	Next() (event Event, ok bool, err error)
-	// WithholdsReply reports whether Next withholds a reply because a length in it may be too small. Next returns the
-	// reply once another message follows it, or an error if other bytes do.
-	WithholdsReply() bool
+	// Withheld returns the judgement of the reply that Next withholds because a length in it may be wrong, and false if
+	// there is none. Next returns the reply once another message follows it or it is judged otherwise, or an error if
+	// other bytes follow it.
+	Withheld() (judgement valuecheck.Judgement, withholds bool)
 	// ReleaseReply lets Next return the withheld reply, as nothing has followed it for long enough.
 	ReleaseReply()
 	// HasPartialMessage reports whether an incomplete message has been received.
--- a/internal/wire/replies.go
+++ b/internal/wire/replies.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"math"
 	"strconv"
+
+	"terntray/valuecheck"
 )
 
 const (
@@ -38,56 +40,119 @@
 // ReplyReader parses a replica's frames from the bytes of a connection.
 //
 // The length of a frame may be wrong. If it is too small, the frame looks like a good one with a shorter value, and the
-// rest of the value follows it. So an OK reply is withheld until the start of another frame follows, unless its value
-// has the usual size or is self-delimiting. A reply that is followed by anything else is malformed, unless its value
-// has the usual size. As a frame that nothing follows may be the last one for a while, the caller releases a reply that
-// has been withheld for long enough.
+// rest of the value follows it; if it is too large, the value takes in what follows. So an OK reply is withheld until the
+// start of another frame follows, unless its value is known to be complete. As a frame that nothing follows may be the
+// last one for a while, the caller releases a reply that has been withheld for long enough.
 type ReplyReader struct {
 	Buffer
-	Sizes *ValueSizes // shared by all connections; may be nil
+	Values *valuecheck.History // shared by all connections; may be nil
+
+	withheld *withheldReply
+	last     *valuecheck.Observation // of the last value returned, until the start of a frame follows it
+}
 
-	withheld *Reply // parsed, but not returned yet
-	released bool   // withheld may be returned although nothing follows it
+// withheldReply is a reply that was parsed, but not returned yet.
+type withheldReply struct {
+	reply     *Reply
+	value     valuecheck.Observation
+	content   valuecheck.Content
+	judgement valuecheck.Judgement // the last one
+	released  bool                 // it may be returned although nothing follows it
 }
 
 // Next returns the next reply, or nil without an error if more bytes are needed. After an error the connection cannot
 // be used any further.
 func (reader *ReplyReader) Next() (*Reply, error) {
+	reply, err := reader.next()
+	if err != nil {
+		reader.retract()
+		reader.Values.MalformedReceived()
+	}
+	return reply, err
+}
+
+func (reader *ReplyReader) next() (*Reply, error) {
 	if reader.withheld == nil {
 		reply, err := reader.parseFrame()
 		if reply == nil || err != nil {
 			return nil, err
 		}
-		reader.withheld = reply
+		reader.last = nil
+		reader.withhold(reply)
 	}
 	return reader.confirm()
 }
 
-// Withholds reports whether a reply is withheld until it is known what follows it.
-func (reader *ReplyReader) Withholds() bool { return reader.withheld != nil }
+// withhold withholds a reply until confirm returns it.
+func (reader *ReplyReader) withhold(reply *Reply) {
+	withheld := &withheldReply{reply: reply, content: valuecheck.NoMessage}
+	if reply.Status == ReplyOK {
+		withheld.value = reader.Values.Observe(reply.Value)
+	}
+	reader.withheld = withheld
+}
+
+// Withheld returns what is known of the reply that is withheld until it is known what follows it. It returns false if
+// there is none.
+func (reader *ReplyReader) Withheld() (valuecheck.Judgement, bool) {
+	if reader.withheld == nil {
+		return valuecheck.Judgement{}, false
+	}
+	return reader.withheld.judgement, true
+}
 
 // Release lets Next return the withheld reply, as nothing has followed it for long enough.
-func (reader *ReplyReader) Release() { reader.released = reader.withheld != nil }
+func (reader *ReplyReader) Release() {
+	if reader.withheld != nil {
+		reader.withheld.released = true
+	}
+}
 
 // confirm returns the withheld reply once its length is known to fit, and nil without an error until then.
 func (reader *ReplyReader) confirm() (*Reply, error) {
-	reply := reader.withheld
-	hasValue := reply.Status == ReplyOK
-	isUsual := hasValue && reader.Sizes.IsUsual(len(reply.Value))
+	withheld := reader.withheld
+	withheld.judgement = reader.judge(withheld)
+	verdict := withheld.judgement.Verdict
 	following, err := parseFrameHeader(reader.Bytes())
 	switch {
-	case isUsual:
+	case verdict == valuecheck.Malformed:
+		return nil, malformed("reply with a value of %d bytes that contains other frames", len(withheld.reply.Value))
+	case verdict == valuecheck.Complete:
 	case err != nil:
-		return nil, malformed("reply with a value of %d bytes followed by bytes that are not a frame", len(reply.Value))
-	case hasValue && !following.complete && !reader.released && !IsSelfDelimiting(reply.Value):
+		return nil, malformed("reply with a value of %d bytes followed by bytes that are not a frame",
+			len(withheld.reply.Value))
+	case verdict == valuecheck.Uncertain && !following.complete && !withheld.released:
 		return nil, nil
 	}
-	if hasValue {
-		reader.Sizes.Record(len(reply.Value))
+	reader.withheld = nil
+	if withheld.reply.Status == ReplyOK {
+		reader.Values.Accept(withheld.value)
+		reader.last = &withheld.value
+	}
+	return withheld.reply, nil
+}
+
+// judge judges a reply. Only an OK reply has a value of which a part could be missing.
+func (reader *ReplyReader) judge(withheld *withheldReply) valuecheck.Judgement {
+	switch {
+	case withheld.reply.Status == ReplyOK:
+		return reader.Values.Judge(withheld.value, withheld.content)
+	case withheld.content == valuecheck.ContainsMessages:
+		return valuecheck.Judgement{Verdict: valuecheck.Malformed}
+	}
+	return valuecheck.Judgement{Verdict: valuecheck.Plausible}
+}
+
+// retract takes back the value that precedes malformed bytes: its length was probably wrong.
+func (reader *ReplyReader) retract() {
+	switch {
+	case reader.withheld != nil && reader.withheld.reply.Status == ReplyOK:
+		reader.Values.Retract(reader.withheld.value, false)
+	case reader.withheld == nil && reader.last != nil:
+		reader.Values.Retract(*reader.last, true)
 	}
 	reader.withheld = nil
-	reader.released = false
-	return reply, nil
+	reader.last = nil
 }
 
 // parseFrame consumes the next frame and returns the reply in it, or nil without an error if the frame is incomplete.
@@ -109,8 +174,21 @@
 // parseReply parses the content of a reply: a line with the id, the status, a score and a load report, then the value.
 func parseReply(content []byte) (*Reply, error) {
 	line, value, hasValue := bytes.Cut(content, []byte("\n"))
+	if !hasValue {
+		return nil, malformed("malformed reply line %q", truncated(line))
+	}
+	reply, err := parseReplyLine(line)
+	if err != nil {
+		return nil, err
+	}
+	reply.Value = bytes.Clone(value)
+	return reply, nil
+}
+
+// parseReplyLine parses the line of a reply.
+func parseReplyLine(line []byte) (*Reply, error) {
 	words := bytes.SplitN(line, []byte(" "), 4)
-	if !hasValue || len(words) != 4 || len(words[0]) == 0 {
+	if len(words) != 4 || len(words[0]) == 0 {
 		return nil, malformed("malformed reply line %q", truncated(line))
 	}
 	status := ReplyStatus(words[1])
@@ -120,9 +198,7 @@
 	if !isFinite(string(words[2])) {
 		return nil, malformed("malformed reply score %q", truncated(words[2]))
 	}
-	reply := &Reply{ID: string(words[0]), Status: status, Value: bytes.Clone(value)}
-	reply.CPUUsage = ParseLoadReport(string(words[3]), "=")
-	return reply, nil
+	return &Reply{ID: string(words[0]), Status: status, CPUUsage: ParseLoadReport(string(words[3]), "=")}, nil
 }
 
 // malformedError is an ErrMalformedReply that states what was found.
--- a/replicaconn/driver.go
+++ b/replicaconn/driver.go
@@ -21,8 +21,8 @@
 	"terntray/internal/replicaproto"
 	"terntray/internal/replicaproto/frames"
 	"terntray/internal/replicaproto/http2"
-	"terntray/internal/wire"
 	"terntray/scheduler"
+	"terntray/valuecheck"
 )
 
 // Handler is notified of the results of attempts and of connection events, and is asked for refused calls.
@@ -76,7 +76,7 @@
 	conns       map[connpool.ConnID]*conn
 	lastAttempt connpool.AttemptID
 	unflushed   []*conn                      // with output, but their writers have not been woken up yet
-	valueSizes  *wire.ValueSizes             // sizes of values in replies; has its own lock
+	values      *valuecheck.History          // values in replies; has its own lock
 	tls         map[string]*config.ClientTLS // by their name in the configuration; replaced as a whole
 
 	context context.Context // cancelled by Stop; read by any goroutine
@@ -92,14 +92,14 @@
 	}
 	config.MaxCallsPerFrame = max(1, config.MaxCallsPerFrame)
 	driver := &Driver{
-		loop:       loop,
-		handler:    handler,
-		log:        logger,
-		config:     config,
-		endpoints:  map[scheduler.ReplicaID]*Endpoint{},
-		conns:      map[connpool.ConnID]*conn{},
-		valueSizes: &wire.ValueSizes{},
-		tls:        clientTLS,
+		loop:      loop,
+		handler:   handler,
+		log:       logger,
+		config:    config,
+		endpoints: map[scheduler.ReplicaID]*Endpoint{},
+		conns:     map[connpool.ConnID]*conn{},
+		values:    &valuecheck.History{},
+		tls:       clientTLS,
 	}
 	driver.pool = connpool.New(poolHost{driver}, config.Limits)
 	driver.context, driver.stop = context.WithCancel(context.Background())
@@ -167,12 +167,12 @@
 // newSession returns the protocol state machine for a new connection.
 func (driver *Driver) newSession(protocol replicaproto.Protocol, to *Endpoint) replicaproto.Session {
 	if protocol != replicaproto.HTTP2 {
-		return frames.New(driver.config.MaxCallsPerFrame, driver.valueSizes)
+		return frames.New(driver.config.MaxCallsPerFrame, driver.values)
 	}
 	if to.tlsName != "" {
-		return http2.New("https", to.addr, driver.valueSizes)
+		return http2.New("https", to.addr, driver.values)
 	}
-	return http2.New("http", to.addr, driver.valueSizes)
+	return http2.New("http", to.addr, driver.values)
 }
 
 // ConnUp notifies the pool that calls may be written on a connection. The connection's goroutines post it to the
--- a/replicaconn/reader.go
+++ b/replicaconn/reader.go
@@ -9,6 +9,7 @@
 
 	"terntray/internal/netconn"
 	"terntray/internal/replicaproto"
+	"terntray/valuecheck"
 )
 
 const (
@@ -18,10 +19,8 @@
 	minFragmentTimeout = 100 * time.Millisecond
 	// messageTimeoutFactor times the fragment timeout is the limit for a whole message, from its first byte.
 	messageTimeoutFactor = 4
-	// replyConfirmation is how long a session withholds a reply that nothing follows. If a length in it is too small,
-	// the rest is expected within this time: the pieces of a message arrive one right after the other. It adds to the
-	// latency of queries while value sizes vary or are not known yet.
-	replyConfirmation = 20 * time.Millisecond
+	// judgementInterval is the time between two judgements of a withheld reply while other values may change the verdict.
+	judgementInterval = 5 * time.Millisecond
 	// recheckWait is the deadline for one more read after the read deadline has passed: if this process was stalled
 	// past the deadline, input that arrived in time may not have been read yet.
 	recheckWait = 5 * time.Millisecond
@@ -39,9 +38,10 @@
 	At        time.Duration // time of the read, since process start
 
 	bytes      int
-	midMessage bool  // the last message read is incomplete
-	withholds  bool  // the session withholds a reply
-	err        error // of the read
+	midMessage bool                 // the last message read is incomplete
+	withholds  bool                 // the session withholds a reply
+	judgement  valuecheck.Judgement // of the reply that the session withholds
+	err        error                // of the read
 }
 
 // reader reads from one connection until it ends.
@@ -72,7 +72,9 @@
 	reader.hasReadDeadline = reader.awaitsReady()
 	for {
 		input := reader.read()
-		if reader.confirmationDue(input) {
+		if reader.judgementDue(input) {
+			input = reader.judgeAgain()
+		} else if reader.confirmationDue(input) {
 			if reader.recheck() {
 				continue
 			}
@@ -141,7 +143,7 @@
 // noteState notes what the session waits for. The caller holds the connection's mutex.
 func (reader *reader) noteState(input *Input) {
 	input.midMessage = reader.conn.session.HasPartialMessage()
-	input.withholds = reader.conn.session.WithholdsReply()
+	input.judgement, input.withholds = reader.conn.session.Withheld()
 }
 
 // checkMessageDeadline tracks how long a message has been incomplete, and treats one that exceeds its limit as
--- a/replicaconn/withheld.go
+++ b/replicaconn/withheld.go
@@ -6,31 +6,54 @@
 	"time"
 
 	"terntray/internal/netconn"
+	"terntray/internal/replicaproto"
 )
 
-// withheldReply is the reply that a connection's session withholds because a length in it may be too small. It is
-// released after replyConfirmation, or at the orderly end of the connection, if nothing has followed it. If other bytes
-// than another message follow it, the session reports malformed input and its attempt ends with the connection.
+// withheldReply is the reply that a connection's session withholds because a length in it may be wrong. It is released
+// once it was withheld for as long as its judgement says, or at the orderly end of the connection, if nothing has followed
+// it. If other bytes than another message follow it, the session reports malformed input and its attempt ends with the
+// connection.
 type withheldReply struct {
 	readAt  time.Duration // since process start
 	until   time.Time     // when it is to be released; zero if there is no such reply
-	dueNext bool          // until is the deadline of the current read
+	judgeAt time.Time     // when it is to be judged again before that; zero: not at all
+	dueNext time.Time     // the deadline of the current read, if it is one of the above
 }
 
 func (reply *withheldReply) exists() bool { return !reply.until.IsZero() }
 
-// earlierOf returns the earlier of a read deadline, which is zero if there is none, and the time of the release.
+// earlierOf returns the earlier of a read deadline, which is zero if there is none, and the time at which something is to
+// be done with the reply.
 func (reply *withheldReply) earlierOf(deadline time.Time) time.Time {
-	reply.dueNext = reply.exists() && (deadline.IsZero() || reply.until.Before(deadline))
-	if reply.dueNext {
-		return reply.until
+	reply.dueNext = time.Time{}
+	if !reply.exists() {
+		return deadline
 	}
-	return deadline
+	due := reply.until
+	if !reply.judgeAt.IsZero() && reply.judgeAt.Before(due) {
+		due = reply.judgeAt
+	}
+	if !deadline.IsZero() && !due.Before(deadline) {
+		return deadline
+	}
+	reply.dueNext = due
+	return due
+}
+
+// judgementDue reports whether a read timed out because the withheld reply is to be judged again.
+func (reader *reader) judgementDue(input Input) bool {
+	reply := &reader.withheld
+	return reader.withheldDue(input) && reply.dueNext.Before(reply.until)
 }
 
 // confirmationDue reports whether a read timed out because the withheld reply is to be released.
 func (reader *reader) confirmationDue(input Input) bool {
-	return reader.withheld.dueNext && errors.Is(input.err, os.ErrDeadlineExceeded)
+	reply := &reader.withheld
+	return reader.withheldDue(input) && !reply.dueNext.Before(reply.until)
+}
+
+func (reader *reader) withheldDue(input Input) bool {
+	return !reader.withheld.dueNext.IsZero() && errors.Is(input.err, os.ErrDeadlineExceeded)
 }
 
 // recheck lets one more read be made if input, an end or an error has arrived: a stall of this process may have delayed
@@ -46,11 +69,21 @@
 
 // release returns the withheld reply as the input of a read that ended with the given error.
 func (reader *reader) release(err error) Input {
+	return reader.takeWithheld(err, replicaproto.Session.ReleaseReply)
+}
+
+// judgeAgain lets the session judge the withheld reply again.
+func (reader *reader) judgeAgain() Input {
+	return reader.takeWithheld(nil, func(replicaproto.Session) {})
+}
+
+// takeWithheld prepares the session, and takes its events as the input of a read that ended with the given error.
+func (reader *reader) takeWithheld(err error, prepare func(replicaproto.Session)) Input {
 	conn := reader.conn
 	input := Input{err: err, At: reader.withheld.readAt}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.session.ReleaseReply()
+	prepare(conn.session)
 	reader.takeEvents(&input)
 	reader.noteState(&input)
 	return input
@@ -66,7 +99,14 @@
 	}
 	if !input.withholds {
 		reader.withheld = withheldReply{}
-	} else if !reader.withheld.exists() {
-		reader.withheld = withheldReply{readAt: input.At, until: time.Now().Add(replyConfirmation)}
+		return
+	}
+	now := time.Now()
+	if !reader.withheld.exists() {
+		reader.withheld = withheldReply{readAt: input.At, until: now.Add(input.judgement.Wait)}
+	}
+	reader.withheld.judgeAt = time.Time{}
+	if input.judgement.MayChange {
+		reader.withheld.judgeAt = now.Add(judgementInterval)
 	}
 }
