Reject values that contain the next reply of their connection

Cause: such a frame is well formed and nothing follows it, so it was released as good after 20 ms; nothing looked into the value. Change: each protocol looks for its own messages in a value, by structure and by the IDs sent lately or streams opened on the connection; valuecheck judges a value with one to be malformed, and one that may end in the start of one to be uncertain.

--- a/cmd/terntray/wronglength_test.go
+++ b/cmd/terntray/wronglength_test.go
@@ -71,6 +71,41 @@
 	}
 }
 
+// Guards against clients being served another query's reply behind their own: the length of a reply takes in the next one
+// on its connection, whole, in part or twice, and its rest arrives with it or later. Both subqueries may have run.
+func TestValueThatTakesInTheNextReplyIsNotServed(t *testing.T) {
+	for _, model := range []string{"m", "h2"} {
+		for _, before := range valuesBefore {
+			for name, long := range map[string]fake.LongLength{
+				"whole": {Copies: 1, TakenIn: -1}, "twice": {Copies: 2, TakenIn: -1},
+				"two bytes":              {Copies: 1, TakenIn: 2},
+				"two bytes, rest late":   {Copies: 1, TakenIn: 2, Delay: 240 * time.Millisecond},
+				"half, rest late":        {Copies: 1, TakenIn: 20, Delay: 240 * time.Millisecond},
+				"once of two, rest late": {Copies: 2, TakenIn: 45, Delay: 60 * time.Millisecond},
+			} {
+				t.Run(fmt.Sprintf("%s, values before: %s, %s", model, before, name), func(t *testing.T) {
+					t.Parallel()
+					testLongLength(t, model, before, long)
+				})
+			}
+		}
+	}
+}
+
+func testLongLength(t *testing.T, model, before string, long fake.LongLength) {
+	replica := newReplica(t, "s-a", 0, succeed)
+	replica.Model = model
+	program, _ := startDeploymentWith(t, settings, allHTTP2, 1024, replica)
+	client := program.connect()
+	receiveValuesBefore(client, replica, before)
+	replica.SetBehavior(long.Behavior())
+	client.send(query("look", "q1", 10, 3, 4))
+	client.expect(map[int]string{3: value(replica, 3), 4: value(replica, 4)})
+	if counters := program.counters(); counters["spoilt"] == 0 {
+		t.Errorf("counters %v", counters)
+	}
+}
+
 // Guards against a confirmation that delays sound replies: once values of two sizes are known, a query takes no longer than
 // before replies were withheld at all, by the median of queries that alternate between both sizes.
 func TestValuesOfTwoSizesAreNotDelayed(t *testing.T) {
--- a/internal/fake/shortlength.go
+++ b/internal/fake/shortlength.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"net"
 	"time"
 )
 
@@ -36,23 +35,3 @@
 	frame := append(dataFrameHeader(stream, len(value)-missing), value...)
 	writeInParts(conn.conn, frame, len(frame)-missing, delay)
 }
-
-// dataFrameHeader returns the header of a DATA frame that ends a stream.
-func dataFrameHeader(stream uint32, length int) []byte {
-	const (
-		dataType  = 0x0 // RFC 9113, 6.1
-		endStream = 0x1
-	)
-	header := []byte{byte(length >> 16), byte(length >> 8), byte(length), dataType, endStream}
-	return binary.BigEndian.AppendUint32(header, stream)
-}
-
-// writeInParts writes the bytes after the first ones after a delay.
-func writeInParts(conn net.Conn, bytes []byte, first int, delay time.Duration) {
-	if delay == 0 {
-		first = len(bytes)
-	}
-	_, _ = conn.Write(bytes[:first])
-	time.Sleep(delay)
-	_, _ = conn.Write(bytes[first:])
-}
--- a/internal/replicaproto/frames/session.go
+++ b/internal/replicaproto/frames/session.go
@@ -17,6 +17,7 @@
 	replies  wire.ReplyReader
 	queue    []queueEntry
 	callEnds []replicaproto.CallEnd // of the calls in the last output, in order
+	sent     sentIDs
 }
 
 // queueEntry is an entry of the queue: a call, or the notice that a subquery is abandoned.
@@ -29,7 +30,7 @@
 // checked, may be nil.
 func New(maxCalls int, values *valuecheck.History) *Session {
 	session := &Session{maxCalls: max(1, maxCalls)}
-	session.replies = wire.ReplyReader{Values: values}
+	session.replies = wire.ReplyReader{Values: values, Sent: &session.sent}
 	return session
 }
 
@@ -107,6 +108,7 @@
 			ID: call.SubqueryID, Shard: call.Shard, WaitMS: waitMS, Text: call.Text,
 		})
 		begun = append(begun, call)
+		session.sent.add(call.SubqueryID)
 	}
 	return subqueries, begun
 }
--- a/internal/replicaproto/http2/withheld.go
+++ b/internal/replicaproto/http2/withheld.go
@@ -1,6 +1,8 @@
 package http2
 
 import (
+	"bytes"
+	"encoding/binary"
 	"fmt"
 
 	"golang.org/x/net/http2"
@@ -23,7 +25,7 @@
 	session.withheld = &withheldReply{
 		event:   *reply,
 		value:   session.values.Observe(reply.Value),
-		content: valuecheck.NoMessage,
+		content: session.findFrames(reply.Value),
 	}
 }
 
@@ -81,3 +83,51 @@
 	session.lastValue = nil
 	session.values.MalformedReceived()
 }
+
+// findFrames looks for frames in a value, as a DATA frame whose length is too large takes them in. The last one may be
+// incomplete.
+func (session *Session) findFrames(value []byte) valuecheck.Content {
+	for start := 0; ; start++ {
+		offset := bytes.IndexByte(value[start:], 0) // the first byte of any length up to maxFrameSize
+		if offset < 0 {
+			return valuecheck.NoMessage
+		}
+		start += offset
+		if _, err := payloadLength(value[start:]); err != nil {
+			continue
+		}
+		if len(value)-start < frameHeaderSize {
+			return valuecheck.MayEndInMessage
+		}
+		if session.isExpectedHeader(value[start:]) {
+			return valuecheck.ContainsMessages
+		}
+	}
+}
+
+// isExpectedHeader reports whether bytes begin with a header that a replica may send on this connection: one of a stream
+// that was opened, or of a control frame with a fixed size (RFC 9113, 6.5, 6.7 and 6.9).
+func (session *Session) isExpectedHeader(input []byte) bool {
+	const (
+		settingSize      = 6
+		pingSize         = 8
+		windowUpdateSize = 4
+	)
+	length, _ := payloadLength(input)
+	stream := binary.BigEndian.Uint32(input[frameHeaderSize-4:])
+	frameType := http2.FrameType(input[3])
+	if stream != 0 {
+		isOfStream := frameType == http2.FrameData || frameType == http2.FrameHeaders || frameType == http2.FrameRSTStream
+		return isOfStream && stream <= maxStreamID && session.checkWasOpened(stream) == nil
+	}
+	isComplete := frameHeaderSize+length <= len(input)
+	switch frameType {
+	case http2.FrameSettings:
+		return isComplete && length%settingSize == 0
+	case http2.FramePing:
+		return isComplete && length == pingSize
+	case http2.FrameWindowUpdate:
+		return isComplete && length == windowUpdateSize
+	}
+	return false
+}
--- a/internal/wire/replies.go
+++ b/internal/wire/replies.go
@@ -46,6 +46,7 @@
 type ReplyReader struct {
 	Buffer
 	Values *valuecheck.History // shared by all connections; may be nil
+	Sent   SentIDs             // subqueries of this connection; may be nil
 
 	withheld *withheldReply
 	last     *valuecheck.Observation // of the last value returned, until the start of a frame follows it
@@ -85,7 +86,7 @@
 
 // withhold withholds a reply until confirm returns it.
 func (reader *ReplyReader) withhold(reply *Reply) {
-	withheld := &withheldReply{reply: reply, content: valuecheck.NoMessage}
+	withheld := &withheldReply{reply: reply, content: findFrames(reply.Value, reader.Sent)}
 	if reply.Status == ReplyOK {
 		withheld.value = reader.Values.Observe(reply.Value)
 	}
--- a/internal/wire/replies_test.go
+++ b/internal/wire/replies_test.go
@@ -16,9 +16,9 @@
 	return repliesAfter(b, piece, nil)
 }
 
-// repliesAfter does so after the values in a history.
+// repliesAfter does so on a connection that carries the subqueries a.1 and a.2, after the values in a history.
 func repliesAfter(b []byte, piece int, before *valuecheck.History) (got []string) {
-	reader := ReplyReader{Values: before}
+	reader := ReplyReader{Values: before, Sent: sentIDs{"a.1", "a.2"}}
 	for ended := false; ; {
 		reply, err := reader.Next()
 		switch {
@@ -149,6 +149,47 @@
 	}
 }
 
+// Guards against the value of another subquery being served behind the own one: a length that is too large takes in whole
+// replies behind it, once or twice, and perhaps the start of a further one, and nothing follows them. Nor may values of the
+// size that this makes have been usual.
+func TestValueThatContainsRepliesIsMalformed(t *testing.T) {
+	const value = "5be2a07c19f04d63"
+	frame := frameOf('Y', "a.1 OK 0 -\n"+value)
+	for _, status := range []string{"OK", "ERROR", "REJECTED"} {
+		first := frameOf('Y', "a.1 "+status+" 0 -\n")
+		next := frameOf('Y', "a.2 OK 0 inflight=7,util=0.61\n"+value)
+		headWithID := frameHeaderSize + 1
+		for name, added := range map[string][]byte{
+			"one": next, "twice": slices.Concat(next, next), "itself": frame, "a refusal": frameOf('N', "what is this"),
+			"one and the start of another": slices.Concat(next, frame[:headWithID]), "a start with an ID": next[:headWithID],
+		} {
+			input := resized(slices.Concat(first, added), len(added))
+			size := len(added)
+			for _, before := range []func() *valuecheck.History{historyOf(), historyOf(of(100, 16)), historyOf(of(100, size))} {
+				for _, piece := range []int{1, 7, 1 << 20} {
+					if got := fmt.Sprint(repliesAfter(input, piece, before())); got != "[error]" {
+						t.Errorf("%s, %s in pieces of %d: %s", status, name, piece, got)
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against values being delayed or rejected for bytes that only resemble frames: values in binary, of zeros, with
+// lines that are no replies.
+func TestValuesThatResembleFramesAreReturned(t *testing.T) {
+	for _, value := range []string{
+		"\x00\x00\x00\x05Yabcd", "\x00\x00\x00\x05Yab c\nd", strings.Repeat("\x00", 5000),
+		strings.Repeat("\x00\x00\x00\x09Y", 500) + "x", "\x00\x00\x00\x02Na-", "\x00\x01\x00\x00Yb.7 OK",
+	} {
+		got := repliesAfter(frameOf('Y', "a.1 OK 0 -\n"+value), 1<<20, historyOf(of(100, 16))())
+		if want := fmt.Sprintf("a.1 OK %q", value); len(got) != 1 || got[0] != want {
+			t.Errorf("%.40q: %.80q", value, got)
+		}
+	}
+}
+
 // A value of the largest size so far is returned at once, also if noise follows it, and one of a smaller size that is
 // frequent unless noise follows it.
 func TestValueOfKnownSizeIsNotWithheld(t *testing.T) {
@@ -195,6 +236,13 @@
 	}
 }
 
+// sentIDs are the IDs of the subqueries of a connection.
+type sentIDs []string
+
+func (ids sentIDs) HasPrefix(prefix []byte) bool {
+	return slices.ContainsFunc(ids, func(id string) bool { return strings.HasPrefix(id, string(prefix)) })
+}
+
 // historyOf returns a function that returns a new history of values.
 func historyOf(groups ...[]string) func() *valuecheck.History {
 	return func() *valuecheck.History {
