Refuse requests whose ID was used within the last minute

What callers saw: an ID that came again 5 ms after its client had left ran twice (855 and 1,942 of one flood); one client that repeated one ID had a connection to a replica opened for each (72 in 4 s), as no connection carries two subqueries of one ID. Cause: only the IDs of open queries were known, and a query closes with its client. TestQueriesAreChargedToTheirTenant sent one ID for several queries, and now sends a new one for each.

--- a/coordinator/arrival.go
+++ b/coordinator/arrival.go
@@ -24,6 +24,8 @@
 		c.counts.Disconnected++
 	case c.queriesByRequestID[request.ID] != nil:
 		c.rejectMalformed(from, http.StatusConflict, "a retrieval with this Req-Id is open")
+	case c.usedIDs.contains(request.ID, c.loop.Now()):
+		c.rejectMalformed(from, http.StatusConflict, "a retrieval with this Req-Id came before")
 	case hasUnknown:
 		c.rejectMalformed(from, http.StatusBadRequest, fmt.Sprintf("there is no segment %d", unknownShard))
 	case c.isFull():
--- a/coordinator/arrival_test.go
+++ b/coordinator/arrival_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -71,9 +72,11 @@
 		"orgs.0.quotaPerS": "1",
 		"orgs.1.quotaPerS": "1",
 	})
+	queries := 0
 	isRejected := func(tenant string, shards ...int) bool {
 		before := c.counts.Rejected
-		query := newQuery("q", 6*time.Second, shards...)
+		queries++
+		query := newQuery(fmt.Sprint("q", queries), 6*time.Second, shards...)
 		query.Tenant = tenant
 		from := c.newClient()
 		arrives := func() { c.queryArrives(from, query, c.loop.Now()) }
--- a/coordinator/attempt.go
+++ b/coordinator/attempt.go
@@ -19,6 +19,7 @@
 	}
 	earlier := subquery.attempts
 	attempt := c.newAttempt(subquery, to, timeout)
+	c.usedIDs.add(subquery.query.request.ID, attempt.effect, c.loop.Now())
 	subquery.attempts = append(earlier, attempt)
 	c.countStarted(attempt, earlier)
 	switch {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -67,6 +67,7 @@
 type openState struct {
 	queries            map[scheduler.RequestID]*queryState
 	queriesByRequestID map[string]*queryState // by the Req-Id from the client
+	usedIDs            usedIDs
 	queriesByClient    map[client]*queryState
 	subqueries         map[scheduler.RequestID]*subqueryState // of open queries, or with attempts in flight
 	arriving           client                                 // whose query is handled now and not open yet; nil: none
@@ -76,8 +77,9 @@
 	lastNumber         scheduler.QueryNumber
 }
 
-func newOpenState() openState {
+func newOpenState(limits Limits) openState {
 	return openState{
+		usedIDs:            newUsedIDs(limits),
 		queries:            map[scheduler.RequestID]*queryState{},
 		queriesByRequestID: map[string]*queryState{},
 		queriesByClient:    map[client]*queryState{},
@@ -94,7 +96,7 @@
 		deployment:   deployment,
 		log:          logger,
 		limitedLog:   limitedLog{log: logger},
-		openState:    newOpenState(),
+		openState:    newOpenState(deployment.Limits),
 		incarnations: incarnation.New(),
 		cancelReload: func() {},
 	}
