Send a new ID with each query of the test of trailing bytes

Cause: TestLastResponseArrivesCompleteDespiteTrailingBytes sent one ID 20 times in a row, which is refused since IDs are remembered (it failed with 409 at the second). Change: each query has its own ID, as PROTOCOL.md has it; what the test checks stays.

--- a/cmd/terntray/main_test.go
+++ b/cmd/terntray/main_test.go
@@ -149,9 +149,9 @@
 func TestLastResponseArrivesCompleteDespiteTrailingBytes(t *testing.T) {
 	replica := newReplica(t, "s-a", 0, succeed)
 	program, _ := startDeployment(t, settings, replica)
-	for range 20 {
+	for n := range 20 {
 		client := program.connect()
-		client.send(strings.Replace(query("look", "q1", 10, 3), "Host: b", "Host: b\r\nConnection: close", 1) +
+		client.send(strings.Replace(query("look", fmt.Sprint("q", n), 10, 3), "Host: b", "Host: b\r\nConnection: close", 1) +
 			strings.Repeat("x", 9000))
 		if answer := client.receive(); answer.status != 200 || !answer.last {
 			t.Fatalf("status %d, last %t", answer.status, answer.last)
