Bound the memory that clients' requests can take

Cause: parsed forms many times the bytes (823 KB for a head, 4.7 MB for a body), requests under 16 KiB without a bound, buffers that doubled or were held while a connection lingered or waited. Change: fields without a meaning are dropped before a head is parsed; segments are read up to the first unusable one; nesting has a limit; requests of 4 KiB or more reserve memory of one budget (server/memory.go) in place of the slots for those of 16 KiB; buffers grow by half and are released early; the heap's limit leaves 12 MB.

--- a/cmd/terntray/serve.go
+++ b/cmd/terntray/serve.go
@@ -18,6 +18,10 @@
 // is for stacks, the runtime and the kernel's buffers.
 const memoryShare = 0.7
 
+// memoryOutsideHeap is the memory that the limit of the garbage collector leaves at the least: the program's code and data,
+// and what the heap exceeds that limit by while much is allocated at once.
+const memoryOutsideHeap = 12 << 20
+
 // serve implements the command that runs the co-ordinator. SIGTERM and SIGINT start a graceful shutdown, SIGHUP reloads
 // the configuration.
 func serve(flags *flag.FlagSet, args []string) error {
@@ -52,10 +56,16 @@
 // applyLimits sets the runtime's memory limit and GOMAXPROCS from the deployment's limits.
 func applyLimits(limits coordinator.Limits) {
 	if limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(limits.MemoryMB) * memoryShare * (1 << 20)))
+		debug.SetMemoryLimit(heapLimit(limits.MemoryMB << 20))
 	}
 	if limits.Cores > 0 {
 		processors := max(1, int(math.Ceil(limits.Cores)))
 		runtime.GOMAXPROCS(min(runtime.GOMAXPROCS(0), processors))
 	}
 }
+
+// heapLimit returns the limit of the garbage collector for a limit of the process, both in bytes.
+func heapLimit(processLimit int) int64 {
+	share := int(float64(processLimit) * memoryShare)
+	return int64(max(processLimit/2, min(share, processLimit-memoryOutsideHeap)))
+}
--- a/internal/wire/buffer.go
+++ b/internal/wire/buffer.go
@@ -6,8 +6,9 @@
 package wire
 
 const (
-	minFreeSpace = 2 << 10  // minimum number of bytes that FreeSpace returns
-	maxRetained  = 16 << 10 // bytes of capacity that an empty buffer retains; a larger one is released
+	minFreeSpace  = 2 << 10 // minimum number of bytes that FreeSpace returns
+	growthDivisor = 2       // of the capacity, by which it grows at the least
+	maxRetained   = 4 << 10 // bytes of capacity that an empty buffer retains; a larger one is released
 )
 
 // Buffer is the read buffer of a connection. It grows on demand and is compacted in place. The zero value is an
@@ -24,18 +25,24 @@
 		buffer.data = buffer.data[:remaining]
 		buffer.consumed = 0
 	}
-	if len(buffer.data) == 0 && cap(buffer.data) > maxRetained {
-		buffer.data = nil
-	}
+	buffer.ReleaseUnused()
 	length := len(buffer.data)
 	if cap(buffer.data)-length < minFreeSpace {
-		grown := make([]byte, length, max(2*cap(buffer.data), length+minFreeSpace))
+		grown := make([]byte, length, max(cap(buffer.data)+cap(buffer.data)/growthDivisor, length+minFreeSpace))
 		copy(grown, buffer.data)
 		buffer.data = grown
 	}
 	return buffer.data[length:cap(buffer.data)]
 }
 
+// ReleaseUnused releases the memory of an empty buffer that has grown large.
+func (buffer *Buffer) ReleaseUnused() {
+	if buffer.Buffered() == 0 && cap(buffer.data) > maxRetained {
+		buffer.data = nil
+		buffer.consumed = 0
+	}
+}
+
 // Filled appends the first count bytes of the slice that FreeSpace returned last to the buffered bytes.
 func (buffer *Buffer) Filled(count int) { buffer.data = buffer.data[:len(buffer.data)+count] }
 
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -15,7 +15,7 @@
 // queryBody is the body of a query. It and subqueryBody are unnamed types whose fields have the names on the wire,
 // because the decoder's errors, which are sent to clients, quote Go types and fields.
 type queryBody = struct {
-	Segments []subqueryBody  `json:"segments"`
+	Segments json.RawMessage `json:"segments"` // an array of subqueryBody
 	Text     *string         `json:"text"`
 	Question json.RawMessage `json:"question"`
 }
--- a/internal/wire/query.go
+++ b/internal/wire/query.go
@@ -16,6 +16,7 @@
 	maxHintSeconds  = 86400  // largest estimate of the work that a client may state
 	weightTolerance = 0.001  // of the weights' sum, which must be 1: there may be many weights, rounded to six places
 	affinityLength  = 16     // hexadecimal digits
+	maxNesting      = 32     // levels of a body; the JSON decoder's state for each takes many times its byte
 )
 
 // Query is a client's query.
@@ -103,17 +104,43 @@
 	if !utf8.Valid(text) {
 		return nil, badRequest("the body is no UTF-8")
 	}
+	if isNestedDeeper(text, maxNesting) {
+		return nil, badRequest("the body is nested deeper than %d levels", maxNesting)
+	}
 	body := &queryBody{}
 	if err := json.Unmarshal(text, body); err != nil {
 		return nil, badRequest("the body is not the JSON of a query: %v", err)
 	}
 	hasText := body.Text != nil && *body.Text != "" && !strings.ContainsRune(*body.Text, utf8.RuneError)
 	if len(body.Segments) == 0 || !hasText {
-		return nil, badRequest("the query has no segments or no usable text")
+		return nil, errNoSegments
 	}
 	return body, nil
 }
 
+// isNestedDeeper reports whether arrays and objects in a JSON text are nested deeper than a number of levels.
+func isNestedDeeper(text []byte, levels int) bool {
+	depth := 0
+	inString := false
+	for n := 0; n < len(text); n++ {
+		switch character := text[n]; {
+		case inString && character == '\\':
+			n++ // the escaped character does not end the string
+		case character == '"':
+			inString = !inString
+		case inString:
+		case character == '[' || character == '{':
+			depth++
+		case character == ']' || character == '}':
+			depth--
+		}
+		if depth > levels {
+			return true
+		}
+	}
+	return false
+}
+
 func readTwoPhase(text json.RawMessage) (*TwoPhaseQuery, error) {
 	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
@@ -129,31 +156,69 @@
 	return query.Limit == nil || *query.Limit >= 0 && *query.Limit <= maxLimit
 }
 
-// readSubqueries converts the subqueries, no two of which may have the same shard. The weights must add up to 1: with a
-// larger sum a response could count as complete while values are missing.
-func readSubqueries(bodies []subqueryBody) ([]Subquery, error) {
-	subqueries := make([]Subquery, 0, len(bodies))
-	seen := make(map[int]bool, len(bodies))
-	sum := 0.0
-	for n, body := range bodies {
-		if !hasShardAndWeight(&body) {
-			return nil, badRequest("segments[%d] has no usable segment and boost", n)
-		}
-		if !hasUsableHints(&body) {
-			return nil, badRequest("segments[%d] has no usable work or affinity", n)
+// errNoSegments reports a query without subqueries.
+var errNoSegments = badRequest("the query has no segments or no usable text")
+
+// readSubqueries reads the subqueries. It stops at the first one that is not usable, so that a body of very many empty ones
+// costs no memory.
+func readSubqueries(text json.RawMessage) ([]Subquery, error) {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	opening, err := decoder.Token()
+	switch {
+	case err != nil || opening == nil:
+		return nil, errNoSegments
+	case opening != json.Delim('['):
+		return nil, badRequest("the body is not the JSON of a query: its segments are no array")
+	}
+	list := subqueryList{shards: map[int]bool{}}
+	for decoder.More() {
+		body := subqueryBody{}
+		if err := decoder.Decode(&body); err != nil {
+			return nil, badRequest("the body is not the JSON of a query: %v", err)
 		}
-		if seen[*body.Segment] {
-			return nil, badRequest("segment %d stands twice", *body.Segment)
+		if err := list.add(&body); err != nil {
+			return nil, err
 		}
-		seen[*body.Segment] = true
-		sum += *body.Boost
-		hint := time.Duration(body.Work) * time.Microsecond
-		subqueries = append(subqueries, Subquery{Shard: *body.Segment, Weight: *body.Boost, Hint: hint})
 	}
-	if math.Abs(sum-1) > weightTolerance {
-		return nil, badRequest("the boosts add up to %g, not to 1", sum)
+	return list.checked()
+}
+
+// subqueryList collects the subqueries of a query.
+type subqueryList struct {
+	all    []Subquery
+	shards map[int]bool
+	weight float64 // sum
+}
+
+// add adds a subquery. No two may have the same shard.
+func (list *subqueryList) add(body *subqueryBody) error {
+	number := len(list.all)
+	if !hasShardAndWeight(body) {
+		return badRequest("segments[%d] has no usable segment and boost", number)
+	}
+	if !hasUsableHints(body) {
+		return badRequest("segments[%d] has no usable work or affinity", number)
+	}
+	if list.shards[*body.Segment] {
+		return badRequest("segment %d stands twice", *body.Segment)
+	}
+	list.shards[*body.Segment] = true
+	list.weight += *body.Boost
+	hint := time.Duration(body.Work) * time.Microsecond
+	list.all = append(list.all, Subquery{Shard: *body.Segment, Weight: *body.Boost, Hint: hint})
+	return nil
+}
+
+// checked returns the subqueries. Their weights must add up to 1: with a larger sum a response could count as complete while
+// values are missing.
+func (list *subqueryList) checked() ([]Subquery, error) {
+	if len(list.all) == 0 {
+		return nil, errNoSegments
+	}
+	if math.Abs(list.weight-1) > weightTolerance {
+		return nil, badRequest("the boosts add up to %g, not to 1", list.weight)
 	}
-	return subqueries, nil
+	return list.all, nil
 }
 
 func hasShardAndWeight(body *subqueryBody) bool {
--- a/internal/wire/request.go
+++ b/internal/wire/request.go
@@ -18,7 +18,7 @@
 type Request struct {
 	Method string
 	Path   string
-	Header http.Header
+	Header http.Header // only the fields that have a meaning here
 	Body   []byte
 	Close  bool // the connection is to be closed after the response
 }
@@ -36,10 +36,11 @@
 	if ready, err := reader.mayBeComplete(); err != nil || !ready {
 		return nil, false, err
 	}
-	if err := checkHead(reader.head()); err != nil {
+	relevant, err := checkHead(reader.head())
+	if err != nil {
 		return nil, false, err
 	}
-	head, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(reader.head())))
+	head, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(relevant)))
 	if err != nil {
 		return nil, false, badRequest("no HTTP request: %v", err)
 	}
--- a/replicaconn/writer.go
+++ b/replicaconn/writer.go
@@ -15,6 +15,9 @@
 	writeTimeout = 60 * time.Millisecond
 	// writeSize is the approximate number of bytes per write. Calls behind them can still be withdrawn.
 	writeSize = 16 << 10
+	// maxRetainedOutput is the size up to which the buffer of a write is used again. Large calls would otherwise keep a
+	// buffer of their size on each connection.
+	maxRetainedOutput = 32 << 10
 	// lastReplyTimeout is how long replies are still read on a connection that can no longer be written to.
 	lastReplyTimeout = time.Second
 )
@@ -42,6 +45,9 @@
 	var output []byte
 	for {
 		var last bool
+		if cap(output) > maxRetainedOutput {
+			output = nil
+		}
 		output, last = conn.nextOutput(output[:0])
 		conn.driver.handler.NotifyRefusedCalls()
 		if last {
--- a/server/connection.go
+++ b/server/connection.go
@@ -26,7 +26,7 @@
 	requestOpen    bool      // a request was read and has not been answered
 	requestCount   int       // requests read so far
 	admitted       bool      // the next request was admitted before it was parsed; see rejectWhileShedding
-	holdsLargeSlot bool      // holds a slot for large requests
+	reserved       int       // bytes of request memory that it holds
 	discardedBytes int       // received beyond maxReadAhead; if not 0, the connection closes after its response
 	waitingSince   time.Time // time of accept, of the last response, or of the first byte of an incomplete request
 	finalWaitEnds  time.Time // end of the last wait before the connection closes; zero if it is not about to close
--- a/server/connection_test.go
+++ b/server/connection_test.go
@@ -85,7 +85,7 @@
 func TestOpenRequestIsNotRejectedForPipelinedData(t *testing.T) {
 	for _, ahead := range []int{largeRequestBytes + 2000, maxReadAhead + 5000, 600_000} {
 		f := newFixture()
-		f.server.largeSlots.tryAcquire() // takes the only slot
+		f.server.requestMemory.tryReserve(largeReservation) // takes all
 		serverEnd, clientEnd := connPair(t)
 		client := f.newConn(serverEnd)
 		served := make(chan struct{})
--- a/server/limits.go
+++ b/server/limits.go
@@ -10,7 +10,10 @@
 const (
 	maxReadAhead      = wire.MaxHead + wire.MaxBody // buffered from a client that sends before its response is written
 	maxRequestBytes   = 2 * maxReadAhead            // one request on the wire, with the overhead of many small chunks
-	largeRequestBytes = 16 << 10                    // from this size on a request needs a large-request slot
+	smallRequestBytes = 4 << 10                     // from this size on a request needs reserved memory
+	largeRequestBytes = 16 << 10                    // from this size on it needs more
+	mediumReservation = 32 << 10                    // for a request between both sizes: its buffer, body and text
+	largeReservation  = 256 << 10                   // for one of any size
 )
 
 // Data that a client sends beyond maxReadAhead is read and discarded, in order to detect a disconnect.
@@ -18,6 +21,7 @@
 	discardBufferBytes = 16 << 10
 	maxDiscardedBytes  = 8 << 20   // in search of a FIN, before a request is processed anyway; two hosts buffer less
 	discardBurstBytes  = 256 << 10 // discarded between two pauses, so that no client keeps the core busy
+	lingerBufferBytes  = 4 << 10
 	maxLingerBytes     = 256 << 10 // read after the last response of a connection
 )
 
@@ -34,15 +38,16 @@
 
 // Limits on client connections, as fractions of the process's memory and descriptors. A divisor of N allows 1/N.
 const (
-	connMemoryDivisor   = 2        // of the memory, for client connections
-	connBytes           = 16 << 10 // memory used by a typical client connection
-	largeMemoryDivisor  = 8        // of the memory, for large requests
-	activeSocketDivisor = 3        // of the sockets, for clients that have sent requests
-	maxActiveShare      = 0.7      // of those sockets, in use before the longest idle connection is evicted
-	freeSlotDivisor     = 10       // of the slots, kept free by evicting idle clients
-	defaultMaxConns     = 1 << 16  // connections if no limit is configured
-	silentIdleWeight    = 20       // factor on the idle time of a connection that has never sent a request
-	minConns            = 2        // connections allowed even if there are too few sockets
+	connMemoryDivisor    = 2        // of the memory, for client connections
+	connBytes            = 16 << 10 // memory used by a typical client connection
+	requestMemoryDivisor = 6        // of the memory, for requests that are not small
+	unlimitedMemory      = 1 << 40  // bytes for them if no limit is configured
+	activeSocketDivisor  = 3        // of the sockets, for clients that have sent requests
+	maxActiveShare       = 0.7      // of those sockets, in use before the longest idle connection is evicted
+	freeSlotDivisor      = 10       // of the slots, kept free by evicting idle clients
+	defaultMaxConns      = 1 << 16  // connections if no limit is configured
+	silentIdleWeight     = 20       // factor on the idle time of a connection that has never sent a request
+	minConns             = 2        // connections allowed even if there are too few sockets
 )
 
 // Listener timeouts and intervals.
--- a/server/listener.go
+++ b/server/listener.go
@@ -80,9 +80,7 @@
 // release closes a client connection and releases its slots.
 func (server *Server) release(client *ClientConn) {
 	client.conn.Close()
-	if client.holdsLargeSlot {
-		server.largeSlots.release()
-	}
+	client.releaseReserved(true)
 	server.conns.remove(client)
 	server.slots.release()
 }
--- a/server/reading.go
+++ b/server/reading.go
@@ -1,6 +1,10 @@
 package server
 
-import "time"
+import (
+	"time"
+
+	"terntray/internal/netconn"
+)
 
 // pastDeadline is a read deadline in the past, which makes a read return at once.
 var pastDeadline = time.Unix(1, 0)
@@ -28,8 +32,8 @@
 	}
 	buffered := client.requests.Buffered()
 	fits := buffered <= limit
-	roomForLarge := client.holdsLargeSlot || buffered < largeRequestBytes
-	return client.discardedBytes == 0 && fits && roomForLarge
+	isReserved := reservationFor(buffered) <= client.reserved
+	return client.discardedBytes == 0 && fits && isReserved
 }
 
 // noteFirstByte updates the timeouts when the first byte of a request is received.
@@ -51,6 +55,9 @@
 // discard reads data and drops it, pausing after each discardBurstBytes.
 func (client *ClientConn) discard() (count int, err error) {
 	client.closeAfterResponse.Store(true)
+	if err := netconn.AwaitInput(client.conn); err != nil { // the buffer is not held while there is nothing to read
+		return 0, err
+	}
 	buffer := make([]byte, discardBufferBytes)
 	count, err = client.conn.Read(buffer)
 	bursts := client.discardedBytes / discardBurstBytes
@@ -87,16 +94,10 @@
 	return client.waitingSince.Add(requestTimeout)
 }
 
-// reserveForLargeRequest acquires a large-request slot if the request being received needs one. If none is free the
-// request is rejected, and the client may retry it. It reports whether the connection stays open. The slots bound the
-// memory used by many clients that send requests of the maximum size at once.
+// reserveForLargeRequest reserves memory if the request being received needs it. If there is too little the request is
+// rejected, and the client may retry it. It reports whether the connection stays open.
 func (client *ClientConn) reserveForLargeRequest() bool {
-	isSmall := client.requests.Buffered() < largeRequestBytes
-	if client.holdsLargeSlot || isSmall || client.discardedBytes > 0 {
-		return true
-	}
-	client.holdsLargeSlot = client.server.largeSlots.tryAcquire()
-	if client.holdsLargeSlot || client.requestOpen { // while a request is open, read discards the excess
+	if client.discardedBytes > 0 || client.reserve() || client.requestOpen { // while one is open, read discards the excess
 		return true
 	}
 	client.postRefused()
--- a/server/response.go
+++ b/server/response.go
@@ -67,10 +67,8 @@
 	client.requestOpen = false
 	client.waitingSince = time.Now()
 	client.markIdle()
-	if client.holdsLargeSlot && client.requests.Buffered() < largeRequestBytes {
-		client.holdsLargeSlot = false
-		client.server.largeSlots.release()
-	}
+	client.requests.ReleaseUnused()
+	client.releaseReserved(false)
 	last := response.last || client.discardedBytes > 0
 	if last {
 		client.linger()
@@ -92,7 +90,9 @@
 	if !ok || half.CloseWrite() != nil {
 		return
 	}
-	buffer := make([]byte, 4<<10)
+	client.requests = wire.RequestReader{} // releases its buffer
+	client.releaseReserved(true)
+	buffer := make([]byte, lingerBufferBytes)
 	until := time.Now().Add(lingerTimeout)
 	for read := 0; read < maxLingerBytes; {
 		client.conn.SetReadDeadline(until)
--- a/server/server.go
+++ b/server/server.go
@@ -83,11 +83,11 @@
 	log     *log.Logger
 	classes map[string]Class
 
-	listener   net.Listener
-	slots      connSlots
-	largeSlots largeRequestSlots
-	conns      connTable
-	running    sync.WaitGroup // goroutines of the listener and the connections
+	listener      net.Listener
+	slots         connSlots
+	requestMemory requestMemory
+	conns         connTable
+	running       sync.WaitGroup // goroutines of the listener and the connections
 
 	shutdownStart atomic.Pointer[time.Time] // nil until Shutdown is called
 
@@ -105,7 +105,7 @@
 	}
 	maxConns := config.maxConns()
 	server.slots = newConnSlots(maxConns)
-	server.largeSlots = newLargeRequestSlots(config.maxLargeRequests(maxConns))
+	server.requestMemory.available.Store(config.requestMemoryBytes())
 	server.conns = newConnTable(config.maxActive(maxConns))
 	return server
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -56,7 +56,7 @@
 	}}
 	server := New(config, handler, loop, log.New(io.Discard, "", 0))
 	server.slots = newConnSlots(100)
-	server.largeSlots = newLargeRequestSlots(1)
+	server.requestMemory.available.Store(largeReservation)
 	return fixture{server: server, handler: handler, loop: loop}
 }
 
--- a/server/slots.go
+++ b/server/slots.go
@@ -57,22 +57,6 @@
 	return openQueries >= max(1, server.slots.usable())
 }
 
-// largeRequestSlots bounds the number of requests of largeRequestBytes or more that are read or open concurrently.
-type largeRequestSlots chan struct{}
-
-func newLargeRequestSlots(capacity int) largeRequestSlots { return make(chan struct{}, capacity) }
-
-func (slots largeRequestSlots) tryAcquire() bool {
-	select {
-	case slots <- struct{}{}:
-		return true
-	default:
-		return false
-	}
-}
-
-func (slots largeRequestSlots) release() { <-slots }
-
 // maxConns returns the number of client connections that the memory and descriptor limits allow.
 func (config *Config) maxConns() int {
 	limit := defaultMaxConns
@@ -85,14 +69,6 @@
 	return limit
 }
 
-// maxLargeRequests returns the number of concurrent large requests that the memory limit allows.
-func (config *Config) maxLargeRequests(maxConns int) int {
-	if config.MemoryMB == 0 {
-		return maxConns
-	}
-	return max(1, min(maxConns, config.MemoryMB<<20/largeMemoryDivisor/maxRequestBytes))
-}
-
 // maxActive returns how many connections that have sent a request may be open before the longest idle of them is
 // evicted.
 func (config *Config) maxActive(maxConns int) int {
