--- a/proofs/floods/run.go
+++ b/proofs/floods/run.go
@@ -55,7 +55,7 @@
 // play starts the program, its replicas and the usual clients, and plays the flood.
 func (run *run) play() error {
 	var replicas []*fake.Replica
-	ledger := &ledger{}
+	ledger := &ledger{valueBytes: run.flood.valueBytes}
 	for index := range replicaCount {
 		replica, err := fake.NewReplica(fmt.Sprint("s-", index), 0, ledger.succeedAfterWork)
 		if err != nil {
@@ -109,6 +109,8 @@
 
 // ledger records when replicas received which subqueries.
 type ledger struct {
+	valueBytes int // size of the values; 0: a few
+
 	mu      sync.Mutex
 	entries []ledgerEntry
 }
@@ -122,7 +124,15 @@
 	ledger.mu.Lock()
 	ledger.entries = append(ledger.entries, ledgerEntry{call.ID, time.Now()})
 	ledger.mu.Unlock()
-	time.AfterFunc(work, func() { fake.Succeed(replica, call) })
+	time.AfterFunc(work, func() { ledger.reply(replica, call) })
+}
+
+func (ledger *ledger) reply(replica *fake.Replica, call fake.Call) {
+	if ledger.valueBytes == 0 {
+		fake.Succeed(replica, call)
+		return
+	}
+	replica.Reply(call, "OK", strings.Repeat("v", ledger.valueBytes))
 }
 
 func (run *run) count(result fake.LoadResult) {
