Shed connections that find no slot within half a second

Cause: connections were accepted only once a slot was free, however long that took. Change: a connection is accepted, waits for a slot until half a second after the arrival of what it carries (TCP_INFO), and is then answered 503 unread and closed; new counter shed. The waiting time counts from the arrival, so that the queue empties at once.

--- a/coordinator/counters_test.go
+++ b/coordinator/counters_test.go
@@ -19,7 +19,7 @@
 		"lists list_failures broken reloads questions two_phases pruned bad_summaries refused_questions peer_messages bad_peer_messages " +
 		"closed_last_answer closed_by_client closed_unwritable closed_bad_request closed_slow_request closed_idle closed_evicted " +
 		"closed_shutdown closed_broken " +
-		"accepted evicted accept_failed busy share wall_clock_distrusted"
+		"accepted evicted shed accept_failed busy share wall_clock_distrusted"
 	c := newCoordinator(t)
 	c.counts.Refused[invariant.ClientGone] = 7
 	var keys []string
--- a/coordinator/pages.go
+++ b/coordinator/pages.go
@@ -13,6 +13,7 @@
 	line := &counterLine{}
 	line.add("accepted", clients.Accepted)
 	line.add("evicted", clients.Evicted)
+	line.add("shed", clients.Shed)
 	line.add("accept_failed", clients.AcceptFailures)
 	line.add("busy", c.admission.shed.Load())
 	line.add("share", fmt.Sprintf("%.2f", c.admission.controller.Share()))
--- a/server/limits.go
+++ b/server/limits.go
@@ -56,6 +56,8 @@
 	bindRetryInterval  = bindTimeout / 20       // between two attempts to bind
 	acceptRetryWait    = 10 * time.Millisecond  // after a failed accept
 	acceptLogInterval  = time.Second            // between two log lines about failed accepts
+	slotPatience       = 500 * time.Millisecond // from the arrival of a request, for a slot; then it is shed
+	shedWriteTimeout   = 5 * time.Millisecond   // for the response to a connection that is shed
 	slotRetryInterval  = 5 * time.Millisecond   // between two attempts to free a slot by evicting idle clients
 	shutdownAcceptTime = 700 * time.Millisecond // after the start of shutdown, in which clients may still connect
 	finalAcceptTime    = 50 * time.Millisecond  // then, to accept connections already queued by the kernel
--- a/server/listener.go
+++ b/server/listener.go
@@ -38,17 +38,15 @@
 	defer server.listener.Close()
 	final := false
 	for {
-		waited := server.acquireSlot()
-		if waited && final && server.finalAcceptMayRestart() {
-			server.setAcceptDeadline(finalAcceptTime)
-		}
 		conn, err := server.listener.Accept()
 		if err == nil {
 			server.accepted.Add(1)
-			server.startConn(conn)
+			waited := server.admitConn(conn)
+			if waited && final && server.finalAcceptMayRestart() {
+				server.setAcceptDeadline(finalAcceptTime)
+			}
 			continue
 		}
-		server.slots.release()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
@@ -67,6 +65,28 @@
 	}
 }
 
+// admitConn starts serving an accepted connection, or sheds it if no slot becomes free within slotPatience of the arrival of
+// what its client has sent. It reports whether it had to wait for a slot. Connections behind it in the kernel's queue wait as
+// well: without the limit, a request there could wait until long after its deadline, and nothing would answer it.
+func (server *Server) admitConn(conn net.Conn) (waited bool) {
+	queued, _ := netconn.SinceLastData(conn)
+	acquired, waited := server.acquireSlot(time.Now().Add(slotPatience - queued))
+	if acquired {
+		server.startConn(conn)
+	} else {
+		server.shedConn(conn)
+	}
+	return waited
+}
+
+// shedConn rejects whatever request a connection carries, without reading it, and closes it.
+func (server *Server) shedConn(conn net.Conn) {
+	server.shed.Add(1)
+	_ = conn.SetWriteDeadline(time.Now().Add(shedWriteTimeout))
+	_, _ = conn.Write(Rejection("too many connections")(lastResponse))
+	_ = conn.Close()
+}
+
 // startConn starts serving an accepted connection. The caller has acquired its slot.
 func (server *Server) startConn(conn net.Conn) {
 	client := server.NewConn(conn)
--- a/server/listener_test.go
+++ b/server/listener_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"syscall"
@@ -98,3 +99,44 @@
 	clientEnds[0].Close()
 	expectStatus(t, clientEnds[1], "HTTP/1.1 503")
 }
+
+// Guards against requests that get no answer: other clients hold all slots, and what has no slot waited in the kernel's queue
+// until they were done, far beyond its deadline. Such connections are answered soon, while those clients are still there.
+func TestConnectionWithoutASlotIsAnsweredSoon(t *testing.T) {
+	const (
+		waiting = 5
+		limit   = 2 * slotPatience // each waits from its arrival on, not from when its turn comes
+	)
+	f := newFixture()
+	f.run(t)
+	listener := newListener(t)
+	f.server.slots = newConnSlots(2)
+	f.server.listener = listener
+	go f.server.acceptAll()
+	defer listener.Close()
+	start := time.Now()
+	for n := range cap(f.server.slots.used) {
+		holder, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer holder.Close()
+		io.WriteString(holder, queryRequest(fmt.Sprint("q", n))) // has no answer
+	}
+	for end := time.Now().Add(20 * time.Second); len(f.server.slots.used) < cap(f.server.slots.used) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	var ends []net.Conn
+	for range waiting {
+		ends = append(ends, connectAndRequestUp(t, listener))
+	}
+	for _, end := range ends {
+		expectStatus(t, end, "HTTP/1.1 503")
+	}
+	if took := time.Since(start); took > limit {
+		t.Errorf("the last of them was answered after %v, want %v at the most", took, limit)
+	}
+	if shed := f.server.Counts().Shed; shed != waiting {
+		t.Errorf("%d connections were shed, want %d", shed, waiting)
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -92,6 +92,7 @@
 	shutdownStart atomic.Pointer[time.Time] // nil until Shutdown is called
 
 	accepted       atomic.Int64
+	shed           atomic.Int64
 	acceptFailures acceptFailures
 }
 
@@ -120,6 +121,7 @@
 type Counts struct {
 	Accepted       int64 // connections accepted
 	Evicted        int64 // connections evicted while idle to make room
+	Shed           int64 // connections rejected unread, as no slot became free
 	AcceptFailures int64
 }
 
@@ -128,6 +130,7 @@
 	return Counts{
 		Accepted:       server.accepted.Load(),
 		Evicted:        server.conns.evicted.Load(),
+		Shed:           server.shed.Load(),
 		AcceptFailures: server.acceptFailures.count.Load(),
 	}
 }
--- a/server/slots.go
+++ b/server/slots.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// connSlots bounds the number of open client connections. A slot is acquired before a connection is accepted and
-// released when the connection ends.
+// connSlots bounds the number of open client connections. A slot is acquired once a connection was accepted and released
+// when the connection ends.
 type connSlots struct {
 	used    chan struct{} // one element per connection
 	waiting atomic.Bool   // no slot is free, so connections close after their response; used by any goroutine
@@ -16,26 +16,42 @@
 
 func (slots *connSlots) release() { <-slots.used }
 
+func (slots *connSlots) tryAcquire() bool {
+	select {
+	case slots.used <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 // usable returns how many slots may be in use before idle clients are evicted.
 func (slots *connSlots) usable() int {
 	capacity := cap(slots.used)
 	return capacity - capacity/freeSlotDivisor - 1
 }
 
-// acquireSlot acquires a slot and reports whether it had to wait for one. It evicts idle clients to free slots. While
-// none is free, connections close after their next response: a connection in the kernel's accept queue must not wait
-// for one that has been answered and is idle.
-func (server *Server) acquireSlot() (waited bool) {
+// acquireSlot acquires a slot for a connection that was accepted, and reports whether one became free before the given time
+// and whether it had to wait. It evicts idle clients to free slots. While none is free, connections close after their next
+// response: an accepted connection must not wait for one that has been answered and is idle.
+func (server *Server) acquireSlot(until time.Time) (acquired, waited bool) {
 	defer server.slots.waiting.Store(false)
 	for {
 		for server.fewSlotsFree() && server.evictIdle() {
 		}
+		if server.slots.tryAcquire() {
+			return true, waited
+		}
+		left := time.Until(until)
+		if left <= 0 {
+			return false, waited
+		}
+		server.slots.waiting.Store(true)
+		waited = true
 		select {
 		case server.slots.used <- struct{}{}:
-			return waited
-		case <-time.After(slotRetryInterval):
-			server.slots.waiting.Store(true)
-			waited = true
+			return true, waited
+		case <-time.After(min(left, slotRetryInterval)):
 		}
 	}
 }
