Keep drains that an older endpoint list contradicts

Cause: a full list was taken whatever its revision. Change: package membership keeps the list and what was told to drain or to be gone; that holds until a list is as new, the replica's process has restarted, or 15 s have passed, and then ends by itself. The configuration's known list loses unusable entries once, at the start.

TestOlderListDoesNotUndoAWithdrawal states the rule; before, the table took the state of the last list (by reading). TestRemovedEndpointsLeaveTheKnownList moves along and checks the bound of what is kept.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -5,8 +5,8 @@
 //
 //  1. A watch (watch.go, on its own goroutine) reads the list from its connection and posts it to the event loop, as
 //     urgent: after a stall of the process, the loop waits for lists that have arrived (HasCaughtUp).
-//  2. Watcher.listReceived, on the loop, drops unusable endpoints, updates the last known list (endpoints.go) and
-//     passes the received list to the Handler.
+//  2. Watcher.listReceived, on the loop, drops unusable endpoints, updates the last known list (package membership) and
+//     passes the list to the Handler, with the states that hold.
 //  3. The Handler, implemented by the coordinator (coordinator/endpoints.go), passes each endpoint to the replica
 //     connections, the connection pool and the scheduler, which makes its decisions at the end of the same iteration.
 //
@@ -21,6 +21,7 @@
 
 	"terntray/eventloop"
 	"terntray/internal/wire"
+	"terntray/membership"
 )
 
 const (
@@ -66,7 +67,8 @@
 
 	address   string // of the current agent
 	failing   bool   // the last poll failed
-	endpoints endpointTable
+	endpoints *membership.Table
+	lift      *eventloop.Timer // for the end of withdrawals that an older list contradicts; nil: none
 
 	stopWatch context.CancelFunc
 	stopMove  context.CancelFunc // of the watch at a new address that has not sent the full list yet; nil if none
@@ -76,16 +78,18 @@
 
 // New returns a Watcher. Call Start to start it.
 func New(config Config, handler Handler, loop *eventloop.Loop, logger *log.Logger) *Watcher {
-	return &Watcher{
+	watcher := &Watcher{
 		handler:   handler,
 		loop:      loop,
 		log:       logger,
 		onDemand:  config.OnDemand,
 		hold:      config.hold(),
 		address:   config.Address,
-		endpoints: endpointTable{known: config.Known},
 		stopWatch: func() {},
 	}
+	watcher.dropUnusable(&config.Known)
+	watcher.endpoints = membership.NewTable(config.Known)
+	return watcher
 }
 
 // Start passes the last known list to the Handler and, unless polls are on demand, starts watching.
@@ -105,10 +109,7 @@
 
 // Redeliver passes the full last known list to the Handler, for a scheduler that has lost its state.
 func (watcher *Watcher) Redeliver() {
-	list := watcher.endpoints.full()
-	watcher.dropUnusable(list)
-	watcher.endpoints.update(list)
-	watcher.handler.EndpointsKnown(list)
+	watcher.handler.EndpointsKnown(watcher.endpoints.Full(watcher.loop.Now()))
 }
 
 // Poll starts a new watch, which begins with a poll of the full list, in place of the current one.
@@ -120,7 +121,7 @@
 }
 
 // IsEmpty reports whether no endpoint is known.
-func (watcher *Watcher) IsEmpty() bool { return len(watcher.endpoints.known.Endpoints) == 0 }
+func (watcher *Watcher) IsEmpty() bool { return watcher.endpoints.IsEmpty() }
 
 // listReceived processes a list read by the watch of an address.
 func (watcher *Watcher) listReceived(address string, list *wire.EndpointList) {
@@ -129,14 +130,32 @@
 	}
 	watcher.failing = false
 	watcher.dropUnusable(list)
-	watcher.endpoints.update(list)
-	watcher.handler.EndpointsReceived(list)
+	effective, liftIn := watcher.endpoints.Update(list, watcher.loop.Now())
+	watcher.handler.EndpointsReceived(effective)
+	watcher.liftWithdrawalsIn(liftIn)
 	if len(list.Endpoints) > 0 {
 		watcher.log.Printf("event=endpoint_list rev=%d all=%t endpoints=%d",
 			list.Revision, list.All, len(list.Endpoints))
 	}
 }
 
+// liftWithdrawalsIn sets the timer for the end of withdrawals; 0 means that there are none to end.
+func (watcher *Watcher) liftWithdrawalsIn(delay time.Duration) {
+	watcher.loop.Cancel(watcher.lift)
+	watcher.lift = nil
+	if delay > 0 {
+		watcher.lift = watcher.loop.After(delay, "", watcher.liftWithdrawals)
+	}
+}
+
+func (watcher *Watcher) liftWithdrawals() {
+	lifted, nextIn := watcher.endpoints.Lifted(watcher.loop.Now())
+	if len(lifted.Endpoints) > 0 {
+		watcher.handler.EndpointsReceived(lifted)
+	}
+	watcher.liftWithdrawalsIn(nextIn)
+}
+
 func (watcher *Watcher) dropUnusable(list *wire.EndpointList) {
 	if unusable := list.DropUnusable(); len(unusable) > 0 {
 		watcher.log.Printf("event=unusable_endpoints rev=%d endpoints=%q", list.Revision, unusable)
