Restart a watch that ends without the loop, and wait for its answer after a stall

Cause: a watch without a connection counted as caught up, and its restart needed the loop, which waited for lists; the same for the moment after a poll was written. Change: the watch's goroutine restarts it; it has caught up 20 ms after its last poll, without input since.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -65,8 +65,9 @@
 	onDemand bool
 	hold     time.Duration
 
-	address   string // of the current agent
-	failing   bool   // the last poll failed
+	address   string        // of the current agent
+	failing   bool          // the last poll failed
+	listedAt  time.Duration // loop time at which the last list was processed
 	endpoints *membership.Table
 	lift      *eventloop.Timer // for the end of withdrawals that an older list contradicts; nil: none
 
@@ -129,6 +130,7 @@
 		watcher.finishMove(address)
 	}
 	watcher.failing = false
+	watcher.listedAt = watcher.loop.Now()
 	watcher.dropUnusable(list)
 	effective, liftIn := watcher.endpoints.Update(list, watcher.loop.Now())
 	watcher.handler.EndpointsReceived(effective)
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -189,3 +189,44 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// Guards against decisions by an old list after a stall: the watch ended during the stall, and what the agent has learned since
+// can only be known from a new one. While the loop waits for lists, the watch is restarted, and it has caught up only
+// once the new list was delivered.
+func TestWatchThatEndsDuringAStallIsRestartedBeforeItCountsAsCaughtUp(t *testing.T) {
+	agent, address := newAgent(t)
+	f := newFixture(t, Config{Address: address})
+	f.expectList(t, 0, true)
+	(<-agent.Calls).Respond(`{"rev":5,"all":true,"targets":[]}`)
+	f.expectList(t, 5, false)
+	held := <-agent.Calls
+	time.Sleep(retryInterval)
+	done := make(chan struct{})
+	f.loop.Post(func() { // the loop does nothing else meanwhile, as after a stall
+		defer close(done)
+		held.Conn.Close()
+		time.Sleep(answerTime / 4)
+		if f.watcher.HasCaughtUp() {
+			t.Error("the watch has caught up, but it has ended")
+		}
+		select {
+		case call := <-agent.Calls:
+			call.Respond(`{"rev":7,"all":true,"targets":[]}`)
+		case <-time.After(5 * time.Second):
+			t.Error("the watch is not restarted while the loop waits")
+		}
+		for end := time.Now().Add(5 * time.Second); !f.watcher.HasCaughtUp() && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	<-done
+	for {
+		next := f.next(t)
+		if next.list != nil {
+			if next.list.Revision != 7 {
+				t.Errorf("revision %d", next.list.Revision)
+			}
+			return
+		}
+	}
+}
--- a/discovery/retry.go
+++ b/discovery/retry.go
@@ -12,8 +12,10 @@
 const retryInterval = 200 * time.Millisecond
 
 // startWatch starts a watch on its own goroutine and restarts it after a failure, until the context is cancelled.
+//
+// A watch that ran for retryInterval or longer is restarted by its goroutine at once, except on demand: after a stall in
+// which the watch ended, the event loop waits for the new one's list (HasCaughtUp), and cannot start it meanwhile.
 func (watcher *Watcher) startWatch(ctx context.Context, address string) {
-	startedAt := watcher.loop.Now()
 	unlessDone := func(do func()) func() {
 		return func() {
 			if ctx.Err() == nil {
@@ -27,8 +29,19 @@
 	watch := newWatch(address, watcher.hold, watcher.responseTimeout(), deliver)
 	watcher.addWatch(ctx, watch)
 	watcher.running.Go(func() {
-		err := watch.run(ctx)
-		watcher.loop.Post(unlessDone(func() { watcher.watchEnded(ctx, address, startedAt, err) }))
+		for {
+			started := time.Now()
+			err := watch.run(ctx)
+			failedAt := watcher.loop.Since(time.Now())
+			report := unlessDone(func() { watcher.reportFailure(address, err, failedAt) })
+			if watcher.onDemand || ctx.Err() != nil || time.Since(started) < retryInterval {
+				startedAt := watcher.loop.Since(started)
+				watcher.loop.Post(report)
+				watcher.loop.Post(unlessDone(func() { watcher.watchEnded(ctx, address, startedAt) }))
+				return
+			}
+			watcher.running.Go(func() { watcher.loop.Post(report) }) // Post may block, the restart must not
+		}
 	})
 }
 
@@ -53,10 +66,9 @@
 	})
 }
 
-// watchEnded handles the end of a watch. On demand, the scheduler requests the next poll. Otherwise the watch is
-// restarted: immediately if it ran for retryInterval or longer, else once that time has passed since its start.
-func (watcher *Watcher) watchEnded(ctx context.Context, address string, startedAt time.Duration, cause error) {
-	watcher.reportFailure(address, cause)
+// watchEnded handles the end of a watch that its goroutine does not restart. On demand, the scheduler requests the next poll.
+// Otherwise the watch is restarted once retryInterval has passed since its start.
+func (watcher *Watcher) watchEnded(ctx context.Context, address string, startedAt time.Duration) {
 	isMoving := watcher.stopMove != nil
 	if watcher.onDemand && !isMoving {
 		return
@@ -70,13 +82,14 @@
 }
 
 // reportFailure logs a failure and notifies the Handler. During a move to another address the scheduler is not
-// notified, as it has no list from the new address yet.
-func (watcher *Watcher) reportFailure(address string, cause error) {
+// notified, as it has no list from the new address yet; nor if a list has come since the failure.
+func (watcher *Watcher) reportFailure(address string, cause error, failedAt time.Duration) {
 	isMoving := watcher.stopMove != nil
-	notifyScheduler := !isMoving && (watcher.onDemand || !watcher.failing)
+	isRepaired := watcher.listedAt > failedAt
+	notifyScheduler := !isMoving && !isRepaired && (watcher.onDemand || !watcher.failing)
 	if notifyScheduler || !watcher.failing {
 		watcher.log.Printf("event=poll_failed at=%s cause=%q", address, cause)
 	}
-	watcher.failing = true
+	watcher.failing = !isRepaired
 	watcher.handler.PollFailed(notifyScheduler)
 }
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -24,6 +24,10 @@
 	agentTimeout = 500 * time.Millisecond
 )
 
+// answerTime is how long an agent on the same host may take for an answer that it has: for a longer time without one it holds
+// the poll, or is down.
+const answerTime = 20 * time.Millisecond
+
 func (watcher *Watcher) responseTimeout() time.Duration {
 	if watcher.onDemand {
 		return listTimeout
@@ -48,17 +52,21 @@
 	hasList  bool               // the full list was received
 	revision int64              // of the last list
 	pending  *wire.EndpointList // received but not delivered yet
+
+	askedAt time.Time // when the last poll was written, or the watch began to connect for it
+	isOver  bool      // its context is cancelled
 }
 
 func newWatch(address string, hold, responseTimeout time.Duration, deliver func(*wire.EndpointList)) *watch {
 	return &watch{address: address, hold: hold, responseTimeout: responseTimeout, deliver: deliver}
 }
 
-// run polls until a poll fails or the context is cancelled, and returns the error.
+// run polls until a poll fails or the context is cancelled, and returns the error. It begins with the full list.
 func (watch *watch) run(ctx context.Context) error {
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
-	defer watch.disconnect()
+	defer watch.endRun(ctx)
+	watch.hasList = false
 	for {
 		if watch.conn == nil {
 			watch.deliverPending()
@@ -72,12 +80,20 @@
 	}
 }
 
+// endRun disconnects. Until the next run has had time for an answer, the watch has not caught up.
+func (watch *watch) endRun(ctx context.Context) {
+	watch.disconnect()
+	watch.askedAt = time.Now()
+	watch.isOver = ctx.Err() != nil
+}
+
 // poll sends one poll and reads its response. The previous poll's list is delivered only after this poll has been sent:
 // delivery blocks while the queue of the event loop is full, and the watch would expire meanwhile.
 func (watch *watch) poll() error {
 	request, hold := watch.nextRequest()
 	watch.conn.SetDeadline(time.Now().Add(hold + watch.responseTimeout))
 	_, err := watch.conn.Write(request)
+	watch.askedAt = time.Now()
 	watch.deliverPending()
 	if err != nil {
 		return err
@@ -116,6 +132,7 @@
 }
 
 func (watch *watch) connect(ctx context.Context) error {
+	watch.askedAt = time.Now()
 	watch.mu.Unlock()
 	conn, err := netconn.Dial(ctx, watch.address, time.Now().Add(watch.responseTimeout))
 	watch.mu.Lock()
@@ -169,14 +186,19 @@
 	return netconn.AwaitInput(watch.conn)
 }
 
-// hasCaughtUp reports whether everything that has arrived from the agent was read and, if it completed a list,
-// delivered. It may be called from any goroutine.
+// hasCaughtUp reports whether everything that the agent has for this process has arrived, was read and, if it completed a
+// list, delivered. An agent answers only polls: what it has learned since its last answer arrives once the next poll was
+// written, perhaps on a new connection, and the agent had time to answer it. It may be called from any goroutine.
 func (watch *watch) hasCaughtUp() bool {
 	if !watch.mu.TryLock() {
 		return false
 	}
 	defer watch.mu.Unlock()
-	return watch.conn == nil || !netconn.HasInput(watch.conn)
+	if watch.isOver {
+		return true
+	}
+	hasInput := watch.conn != nil && netconn.HasInput(watch.conn)
+	return !hasInput && time.Since(watch.askedAt) >= answerTime
 }
 
 // RevisionError is returned if the changes sent by an agent are older than the last received list, or come before any
