Show that decisions do not know of replies that are withheld; measure values of any size

Test: real processes, 24 sound replicas of 5 ms, 20 queries/s of 3 subqueries, deadline 0.42 s. The fakes get values of a given size and HTTP/2 replies without a content-length.

proofs/values measures the same for a table of protocols, classes, numbers of sizes and builds.

--- /dev/null
+++ b/cmd/terntray/withheld_test.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"terntray/internal/valuetrial"
+)
+
+// Guards against decisions that do not know of a reply because it is withheld until its length is confirmed: the subquery is
+// sent again although a replica has answered it, and sound replicas are ejected as silent. It shows with values of more
+// than one size, from the start of a process on, where the latency objective is short.
+func TestWithheldRepliesAreKnownToTheDecisions(t *testing.T) {
+	const (
+		queries = 40
+		rate    = 20 // per second
+	)
+	for _, class := range []valuetrial.Class{valuetrial.Safe, valuetrial.Unsafe} {
+		for _, http2 := range []bool{false, true} {
+			for _, sizes := range []int{2, 3000} {
+				t.Run(fmt.Sprintf("%s, HTTP/2 %t, %d sizes", class, http2, sizes), func(t *testing.T) {
+					t.Parallel()
+					result, err := valuetrial.Run(valuetrial.Options{
+						Path: os.Args[0], Env: []string{mainVariable + "=1"},
+						Class: class, HTTP2: http2, Sizes: sizes, Queries: queries, Rate: rate, Seed: 1,
+					})
+					if err != nil {
+						t.Fatal(err)
+					}
+					if strings.Contains(result.Log, "DATA RACE") || strings.Contains(result.Log, "event=violation") {
+						t.Errorf("the log:\n%s", result.Log)
+					}
+					if result.SentAgain+result.Ejected+result.Wrong+result.Failed+result.Rejected > 0 {
+						t.Errorf("sent again %d, ejected %d, wrong %d, failed %d, rejected %d, want 0 each; the log:\n%s",
+							result.SentAgain, result.Ejected, result.Wrong, result.Failed, result.Rejected, result.Log)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/fake/behavior.go
+++ b/internal/fake/behavior.go
@@ -13,10 +13,16 @@
 // its own if the call was queued.
 type Behavior = func(*Replica, Call)
 
-// Succeed replies OK, with a value that names the replica and the shard.
+// Succeed replies OK, with the value of Replica.ValueOf or, without it, one that names the replica and the shard.
 func Succeed(replica *Replica, call Call) { replica.Reply(call, "OK", valueOf(replica, call)) }
 
 func valueOf(replica *Replica, call Call) string {
+	replica.Mu.Lock()
+	defined := replica.ValueOf
+	replica.Mu.Unlock()
+	if defined != nil {
+		return defined(call)
+	}
 	return "v<" + replica.UID + "." + strconv.Itoa(call.Shard) + ">"
 }
 
--- a/internal/fake/http2.go
+++ b/internal/fake/http2.go
@@ -244,7 +244,7 @@
 	delete(conn.streams, stream)
 	conn.sendWindow -= int64(len(value))
 	_ = conn.conn.SetWriteDeadline(time.Now().Add(http2WriteTimeout))
-	conn.writeReplyHeaders(stream, status, value, true)
+	conn.writeReplyHeaders(stream, status, value, !conn.omitsContentLength())
 	for len(value) > 0 {
 		size := min(len(value), dataFrameBytes)
 		_ = conn.framer.WriteData(stream, size == len(value), []byte(value[:size]))
@@ -252,6 +252,12 @@
 	}
 }
 
+func (conn *http2Conn) omitsContentLength() bool {
+	conn.replica.Mu.Lock()
+	defer conn.replica.Mu.Unlock()
+	return conn.replica.OmitsContentLength
+}
+
 func (conn *http2Conn) writeReplyHeaders(stream uint32, status, value string, withLength bool) {
 	httpStatus, partEnd := "200", "ok"
 	switch status {
--- a/internal/fake/load.go
+++ b/internal/fake/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -44,8 +45,13 @@
 	Shards     int           // total number of shards
 	Deadline   time.Duration // of each query
 	Seed       uint64
-	MaxConns   int // connection limit; the time a query waits for a free connection counts towards its latency
-	TextBytes  int // length of each query's text; 0: one byte
+	MaxConns   int    // connection limit; the time a query waits for a free connection counts towards its latency
+	TextBytes  int    // length of each query's text; 0: one byte
+	Text       string // of each query, in place of TextBytes bytes
+	Question   string // of two-phase queries, as JSON; empty: none
+
+	// OnAnswer is called with the body of each response with status 200. Nil: bodies are discarded.
+	OnAnswer func(number, firstShard int, body []byte)
 
 	// ExtraResponses counts responses that were followed by unexpected bytes, as when a query is answered twice.
 	ExtraResponses atomic.Int64
@@ -117,7 +123,10 @@
 			}
 			return 0, err
 		}
-		load.readBody(conn, response)
+		body := load.readBody(conn, response)
+		if response.StatusCode == http.StatusOK && load.OnAnswer != nil {
+			load.OnAnswer(n, firstShard, body)
+		}
 		return response.StatusCode, nil
 	}
 }
@@ -129,17 +138,18 @@
 	return http.ReadResponse(conn.reader, nil)
 }
 
-// readBody reads the rest of a response and returns the connection to the idle ones if it can be reused.
-func (load *Load) readBody(conn *clientConn, response *http.Response) {
-	_, err := io.Copy(io.Discard, response.Body)
+// readBody reads the body of a response and returns the connection to the idle ones if it can be reused.
+func (load *Load) readBody(conn *clientConn, response *http.Response) []byte {
+	body, err := io.ReadAll(response.Body)
 	if conn.reader.Buffered() > 0 {
 		load.ExtraResponses.Add(1)
 	}
 	if err != nil || response.Close {
 		load.close(conn)
-		return
+		return body
 	}
 	load.idle <- conn
+	return body
 }
 
 func (load *Load) request(number, firstShard int) string {
@@ -147,8 +157,12 @@
 	for i := range segments {
 		segments[i] = fmt.Sprintf(`{"segment":%d,"boost":%.6f}`, firstShard+i, 1/float64(load.Subqueries))
 	}
-	text := strings.Repeat("t", max(1, load.TextBytes))
-	body := fmt.Sprintf(`{"segments":[%s],"text":%q}`, strings.Join(segments, ","), text)
+	text := cmp.Or(load.Text, strings.Repeat("t", max(1, load.TextBytes)))
+	question := ""
+	if load.Question != "" {
+		question = `,"question":` + load.Question
+	}
+	body := fmt.Sprintf(`{"segments":[%s],"text":%q%s}`, strings.Join(segments, ","), text, question)
 	return fmt.Sprintf(
 		"POST /%s HTTP/1.1\r\nHost: b\r\nReq-Id: %s-%d\r\nReq-Deadline: %.3f\r\nContent-Length: %d\r\n\r\n%s",
 		load.Class, load.Name, number, load.Deadline.Seconds(), len(body), body)
--- a/internal/fake/replica.go
+++ b/internal/fake/replica.go
@@ -49,11 +49,15 @@
 	// connection is reset.
 	CutAfter func() int
 	// QueueTime returns how long an HTTP/2 call is queued before it is executed. Nil: calls are not queued.
-	QueueTime   func() time.Duration
-	Model       string
-	http2       []*http2Conn
-	streamLimit int // concurrent streams per connection; below 0: unlimited
-	maxStreams  int // largest number of streams open on one connection at the same time
+	QueueTime func() time.Duration
+	Model     string
+	// ValueOf returns the value of a sound reply. Nil: a short one that names the replica and the shard.
+	ValueOf func(Call) string
+	// OmitsContentLength leaves the content-length out of HTTP/2 replies.
+	OmitsContentLength bool
+	http2              []*http2Conn
+	streamLimit        int // concurrent streams per connection; below 0: unlimited
+	maxStreams         int // largest number of streams open on one connection at the same time
 
 	reading         sync.RWMutex // write-locked while reading is paused
 	bytesReceived   atomic.Int64
--- a/internal/fake/shards.go
+++ b/internal/fake/shards.go
@@ -134,14 +134,11 @@
 func (shards *Shards) Behavior(faultOf func(replica *Replica, call Call, isSummary bool) SummaryFault,
 	workTime func(isSummary bool, records int) time.Duration) Behavior {
 	return func(replica *Replica, call Call) {
-		header, text, _ := strings.Cut(call.Text, "\n")
-		var request twoPhaseCall
-		if json.Unmarshal([]byte(header), &request) != nil {
+		request, minScore, err := parseTwoPhaseCall(call)
+		if err != nil {
 			replica.OnMalformed("replica %s: not a call of a two-phase query: %q", replica.UID, call.Text)
 			return
 		}
-		var minScore float64
-		_, _ = fmt.Sscanf(text, "score>=%g", &minScore)
 		isSummary := request.Ask == "summary"
 		fault := faultOf(replica, call, isSummary)
 		value := shards.replyValue(call.Shard, request, minScore, fault)
@@ -151,6 +148,22 @@
 	}
 }
 
+// ValueOf returns the value of a sound reply to a call of a two-phase query, or "" if it is none.
+func (shards *Shards) ValueOf(call Call) string {
+	request, minScore, err := parseTwoPhaseCall(call)
+	if err != nil {
+		return ""
+	}
+	return shards.replyValue(call.Shard, request, minScore, NoFault)
+}
+
+func parseTwoPhaseCall(call Call) (request twoPhaseCall, minScore float64, err error) {
+	header, text, _ := strings.Cut(call.Text, "\n")
+	err = json.Unmarshal([]byte(header), &request)
+	_, _ = fmt.Sscanf(text, "score>=%g", &minScore)
+	return request, minScore, err
+}
+
 // replyValue counts a call and returns the value of its reply.
 func (shards *Shards) replyValue(shard int, request twoPhaseCall, minScore float64, fault SummaryFault) string {
 	shards.mu.Lock()
--- /dev/null
+++ b/proofs/values/main.go
@@ -0,0 +1,153 @@
+// Command values measures how long clients wait for sound values of one or several sizes, from a fresh start and beside
+// spoilt replies, and proves that a co-ordinator serves no other values, sends no subquery again that a replica has
+// answered, and ejects no sound replica. With -compare it measures other builds as well.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"terntray/internal/proof"
+	"terntray/internal/valuetrial"
+)
+
+// Loads.
+const (
+	rate         = 20.0 // queries per second
+	longQueries  = 160  // of a trial that begins with a fresh start
+	shortQueries = 17   // that a co-ordinator of a large fleet gets
+	shortTrials  = 4    // processes that get shortQueries each
+	spoiltShare  = 40   // one reply in so many is spoilt
+	seed         = 1
+)
+
+// load is the queries of a row of the table.
+type load struct {
+	name    string
+	queries int
+	trials  int // processes, one after the other
+	spoilt  int
+}
+
+var loads = []load{
+	{"8 s from a fresh start", longQueries, 1, 0},
+	{"17 queries from a fresh start", shortQueries, shortTrials, 0},
+	{"8 s, one reply in 40 spoilt", longQueries, 1, spoiltShare},
+}
+
+// variant is a protocol and a class.
+type variant struct {
+	name  string
+	http2 bool
+	class valuetrial.Class
+	sizes []int
+}
+
+var allSizes = []int{1, 2, 23, 3000}
+
+var variants = []variant{
+	{"frames, safe", false, valuetrial.Safe, allSizes},
+	{"frames, unsafe", false, valuetrial.Unsafe, allSizes},
+	{"HTTP/2, safe", true, valuetrial.Safe, allSizes},
+	{"HTTP/2, unsafe", true, valuetrial.Unsafe, allSizes},
+	{"two phases, frames", false, valuetrial.TwoPhases, []int{1}},
+	{"two phases, HTTP/2", true, valuetrial.TwoPhases, []int{1}},
+}
+
+func main() {
+	program := flag.String("program", "bin/terntray", "path of the program to test")
+	compare := flag.String("compare", "", "other builds to measure, as paths separated by commas")
+	only := flag.String("only", "", "part of the names of the variants to run; empty: all")
+	parallel := flag.Int("beside", 4, "maximum number of trials that run in parallel")
+	flag.Parse()
+	programs := []string{*program}
+	if *compare != "" {
+		programs = append(programs, strings.Split(*compare, ",")...)
+	}
+	rows := newRows(programs, *only)
+	proof.Parallel(len(rows), *parallel, func(index int) { rows[index].run() })
+	printTable(rows)
+	exit(rows, *program)
+}
+
+// row is a row of the table.
+type row struct {
+	program string
+	variant variant
+	load    load
+	sizes   int
+	result  valuetrial.Result
+	err     error
+}
+
+func newRows(programs []string, only string) []*row {
+	var rows []*row
+	for _, variant := range variants {
+		if !strings.Contains(variant.name, only) {
+			continue
+		}
+		for _, load := range loads {
+			for _, sizes := range variant.sizes {
+				for _, program := range programs {
+					rows = append(rows, &row{program: program, variant: variant, load: load, sizes: sizes})
+				}
+			}
+		}
+	}
+	return rows
+}
+
+// run runs the trials of the row and adds up their results.
+func (row *row) run() {
+	for trial := range row.load.trials {
+		result, err := valuetrial.Run(valuetrial.Options{
+			Path: row.program, Class: row.variant.class, HTTP2: row.variant.http2, Sizes: row.sizes,
+			Spoilt: row.load.spoilt, Queries: row.load.queries, Rate: rate, Seed: seed + uint64(trial),
+		})
+		if err != nil {
+			row.err = err
+			return
+		}
+		row.result.Add(result)
+	}
+}
+
+func printTable(rows []*row) {
+	fmt.Println("| replicas and class | load | sizes | build | median | p99 | served | rejected | failed | wrong | " +
+		"sent again | ejected | attempts | connections |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, row := range rows {
+		result := &row.result
+		fmt.Printf("| %s | %s | %d | %s | %v | %v | %d | %d | %d | %d | %d | %d | %d | %d |\n",
+			row.variant.name, row.load.name, row.sizes, filepath.Base(row.program),
+			result.Percentile(0.5).Round(time.Millisecond/10), result.Percentile(0.99).Round(time.Millisecond/10),
+			len(result.Latencies), result.Rejected, result.Failed, result.Wrong, result.SentAgain, result.Ejected,
+			result.Attempts, result.Conns)
+	}
+}
+
+// exit prints the closing line and exits. Spoilt replies may eject replicas.
+func exit(rows []*row, program string) {
+	var errs []error
+	served, wrong, sentAgain, ejected := 0, 0, 0, 0
+	for _, row := range rows {
+		if row.err != nil {
+			errs = append(errs, row.err)
+		}
+		if row.program != program {
+			continue
+		}
+		served += len(row.result.Latencies)
+		wrong += row.result.Wrong
+		sentAgain += row.result.SentAgain
+		if row.load.spoilt == 0 {
+			ejected += row.result.Ejected
+		}
+	}
+	proof.PrintErrors(errs)
+	proved := len(errs)+wrong+sentAgain+ejected == 0 && served > 0
+	proof.Exit(proved, "values", "served=%d wrong=%d sent_again=%d ejected=%d", served, wrong, sentAgain, ejected)
+}
