Tell the decisions of a reply when it arrives, not when its length is confirmed

Callers: subqueries whose replica had answered were sent again up to 0.35 s later, beside the deadline, and sound replicas were ejected; without repeats (unsafe classes) queries failed or found no replica.

Cause: since a reply may be withheld for up to 350 ms. Until then nothing told the scheduler and the pool that the replica had replied. They took it for silent: it was hedged, ejected, its load stayed, admission saw a late query, peers were told of a late attempt, a reset counted as a crash under the query, and a client that left had an answered attempt cancelled.

Change: a reader reports a withheld reply as an event (Unconfirmed). The scheduler learns from it all but the value (ReplyUnconfirmed): load, latency, signs of life, what admission and peers are told. Success (retry tokens, the end of consecutive errors, reinstatement, the answer) waits for the confirmation. A subquery with such a reply is not hedged; if the reply proves malformed its attempt fails as before and is retried. The pool frees its slot, cancels nothing, and takes a reset behind it for a malformed reply. New counter unconfirmed, new trace line reply_unconfirmed.

The model of the pool counts the attempts that its replica still works on against the stream limit, as an attempt with a withheld reply is over there; both models now withhold replies, and the scheduler's fails if anything is sent beside one.

--- a/connpool/cancel.go
+++ b/connpool/cancel.go
@@ -65,6 +65,10 @@
 	if conn.state == closing {
 		return
 	}
+	if attempt.unconfirmed { // there is nothing to cancel
+		pool.release(attempt, replied)
+		return
+	}
 	pool.cancel(conn, attempt)
 	lastHeard := conn.lastReplyAt
 	if conn.traits.Pings { // any input, even a ping answer, shows that the connection is alive
--- a/connpool/conn.go
+++ b/connpool/conn.go
@@ -108,6 +108,27 @@
 	conn.recent = append(conn.recent, recentID{subquery, busyUntil})
 }
 
+// unanswered returns the number of outstanding attempts to which the replica has not replied.
+func (conn *connection) unanswered() int {
+	count := 0
+	for _, attempt := range conn.outstanding {
+		if !attempt.unconfirmed {
+			count++
+		}
+	}
+	return count
+}
+
+// firstUnanswered returns the first attempt without any reply, or nil if there is none.
+func (conn *connection) firstUnanswered() *Attempt {
+	for _, attempt := range conn.outstanding {
+		if !attempt.unconfirmed {
+			return attempt
+		}
+	}
+	return nil
+}
+
 // abandonedRunning returns the number of abandoned attempts that the replica may still be working on. They count as
 // occupied slots: where a replica processes calls in order, a new attempt would wait unread behind them. The cost is
 // additional connections to a replica that hangs.
--- a/connpool/evidence.go
+++ b/connpool/evidence.go
@@ -16,8 +16,8 @@
 //	no              yes                 retransmitted on another connection, at most once (mayMove); else as below
 //	no              no                  it never ran: Unreachable, or NeverSent if this machine was short of resources
 //	yes             -                   it may have run: MalformedReply if only the connection is at fault (malformed
-//	                                    input, or another connection to the replica is up), else ConnectionReset,
-//	                                    which counts as the replica's death
+//	                                    input, or another connection to the replica is up) or the replica had replied,
+//	                                    else ConnectionReset, which counts as the replica's death
 //
 // Attempts are not retransmitted to a replica that is draining or was removed. While a connection is up, a replica may
 // also end an attempt by a message of its protocol (AttemptSettled). The outcome is Overloaded if the message states
@@ -82,6 +82,8 @@
 	for _, attempt := range outstanding {
 		switch {
 		case attempt.finished:
+		case attempt.unconfirmed:
+			pool.finish(attempt, scheduler.MalformedReply, endedAt)
 		case pool.host.Stage(ended.id, attempt) == written:
 			mayHaveRun = append(mayHaveRun, attempt)
 		case ended.wasEstablished && mayRetransmit(attempt, ended.replica):
--- a/connpool/fakehost_test.go
+++ b/connpool/fakehost_test.go
@@ -133,6 +133,14 @@
 	return host.pool.ReplyReceived(host.now, conn, 0, attempt.Call.SubqueryID, host.now)
 }
 
+// withholdReply delivers the news that a reply to the attempt is withheld.
+func (host *fakeHost) withholdReply(conn ConnID, attempt *Attempt) *Attempt {
+	if replicaproto.TraitsOf(host.protocols[conn]).RepliesNameAttempts {
+		return host.pool.ReplyUnconfirmed(host.now, conn, attempt.ID, "", host.now)
+	}
+	return host.pool.ReplyUnconfirmed(host.now, conn, 0, attempt.Call.SubqueryID, host.now)
+}
+
 // endConn notifies the pool that a connection ended.
 func (host *fakeHost) endConn(conn ConnID, cause error) {
 	host.pool.ConnEnded(host.now, conn, cause, host.now)
--- a/connpool/health.go
+++ b/connpool/health.go
@@ -55,10 +55,11 @@
 // has been received since sentAt. It is always false for protocols with pings, which detect dead connections
 // themselves.
 func (conn *connection) silentSince(sentAt time.Duration) bool {
-	if conn.traits.Pings || len(conn.outstanding) == 0 {
+	first := conn.firstUnanswered()
+	if conn.traits.Pings || first == nil {
 		return false
 	}
-	return conn.outstanding[0].SentAt < sentAt && conn.lastReplyAt < sentAt
+	return first.SentAt < sentAt && conn.lastReplyAt < sentAt
 }
 
 // scheduleWakeup schedules a call of Wakeup for the next time that something is due on a connection, unless an
--- a/connpool/host.go
+++ b/connpool/host.go
@@ -27,6 +27,7 @@
 	hasMoved     bool          // it was taken off a lost connection to be sent on another, which may happen once
 	noRetransmit bool          // its query is over, so it must not be sent on another connection
 	finished     bool          // its end was reported, or its sender no longer waits for it
+	unconfirmed  bool          // its replica has replied, but the reply is withheld
 }
 
 // mayMove reports whether the attempt may be sent on another connection if its own is lost before it was fully
--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -156,7 +156,8 @@
 		return
 	}
 	busyUntil := time.Duration(0)
-	if state == unreplied && !conn.traits.LimitsStreams && pool.FullyWritten(attempt) {
+	mayBeRunning := state == unreplied && !attempt.unconfirmed
+	if mayBeRunning && !conn.traits.LimitsStreams && pool.FullyWritten(attempt) {
 		busyUntil = attempt.Call.Deadline
 	}
 	conn.remember(attempt.Call.SubqueryID, busyUntil)
--- a/connpool/replies.go
+++ b/connpool/replies.go
@@ -16,6 +16,27 @@
 	}
 }
 
+// ReplyUnconfirmed notifies the pool of a reply that was read, but is withheld until its length is confirmed. The replica
+// has done its work: the attempt no longer takes a slot, and only its outcome is open. The result is the attempt, or nil if
+// none is waiting for the reply. ReplyReceived follows, or the end of the connection.
+func (pool *Pool) ReplyUnconfirmed(now time.Duration, id ConnID, attempt AttemptID, subquery string,
+	readAt time.Duration) *Attempt {
+	pool.now = now
+	conn := pool.conns[id]
+	if conn == nil || conn.failed {
+		return nil
+	}
+	conn.noteBytes(readAt)
+	replied := conn.find(attempt, subquery)
+	if replied == nil || replied.finished || replied.unconfirmed {
+		return nil
+	}
+	replied.unconfirmed = true
+	pool.noteReply(conn, replied, readAt)
+	pool.assignWaiting(conn.replica)
+	return replied
+}
+
 // ReplyReceived notifies the pool of a reply and of when it was read. The reply names its attempt or, if attempt is
 // 0, only its subquery. The result is the attempt that it ends, or nil if no attempt is waiting for it. In that case
 // the reply is either late, as its attempt was abandoned, or a protocol error that ends the connection.
@@ -31,7 +52,9 @@
 	if answered != nil && !answered.finished {
 		answered.finished = true
 		pool.release(answered, replied)
-		pool.noteReply(conn, answered, readAt)
+		if !answered.unconfirmed {
+			pool.noteReply(conn, answered, readAt)
+		}
 		return answered, false
 	}
 	recent := conn.recentFor(subquery)
--- /dev/null
+++ b/connpool/replies_test.go
@@ -0,0 +1,87 @@
+package connpool
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"terntray/internal/replicaproto"
+	"terntray/scheduler"
+)
+
+// withheld returns a host with a connection on which the reply to a fully written attempt is withheld.
+func withheld(t *testing.T, protocol replicaproto.Protocol, limits Limits) (*fakeHost, *Attempt, ConnID) {
+	t.Helper()
+	host := newFakeHostFor(t, protocol, limits)
+	host.answersPings = true
+	attempt, conn := host.send("q.1", false)
+	host.connUp(conn)
+	markFullyWritten(attempt)
+	if host.withholdReply(conn, attempt) != attempt {
+		t.Fatal("the reply is not taken for the attempt's")
+	}
+	return host, attempt, conn
+}
+
+var bothProtocols = []replicaproto.Protocol{replicaproto.Frames, replicaproto.HTTP2}
+
+// A connection breaks while a reply is withheld. The replica had replied, so the query did not crash it.
+func TestResetBehindAWithheldReplyIsNoCrash(t *testing.T) {
+	for _, protocol := range bothProtocols {
+		host, attempt, conn := withheld(t, protocol, Limits{MaxAttemptsPerConn: 8, MaxConns: 9})
+		host.endConn(conn, errors.New("reset"))
+		host.advance(2 * resetGrace)
+		host.expectOutcomes(attempt, scheduler.MalformedReply)
+	}
+}
+
+// A client leaves while a reply is withheld. There is nothing to cancel, and the connection is as good as before.
+func TestAttemptWithAWithheldReplyIsNotCancelled(t *testing.T) {
+	for _, protocol := range bothProtocols {
+		host, attempt, conn := withheld(t, protocol, Limits{MaxAttemptsPerConn: 8, MaxConns: 9})
+		host.advance(300 * time.Millisecond)
+		host.pool.Abandon(host.now, attempt)
+		if len(host.abandoned) > 0 {
+			t.Errorf("%s: cancelled: %v", protocol, host.abandoned)
+		}
+		id := attempt.ID
+		if protocol == replicaproto.Frames {
+			id = 0 // replies name only the subquery
+		}
+		if _, late := host.pool.ReplyReceived(host.now, conn, id, attempt.Call.SubqueryID, host.now); !late {
+			t.Errorf("%s: the reply is not known once it is confirmed", protocol)
+		}
+		if _, next := host.send("q.2", false); next != conn {
+			t.Errorf("%s: the next attempt is on connection %d, want %d", protocol, next, conn)
+		}
+	}
+}
+
+// A replica is done with an attempt whose reply is withheld: the attempt takes no slot, and its connection is not silent
+// while the replica answers later attempts on others.
+func TestWithheldReplyTakesNoSlot(t *testing.T) {
+	host, _, conn := withheld(t, replicaproto.Frames, Limits{MaxAttemptsPerConn: 1, MaxConns: 9})
+	second, secondConn := host.send("q.2", false)
+	if secondConn != conn {
+		t.Fatalf("the second attempt is on connection %d, want %d", secondConn, conn)
+	}
+	markFullyWritten(second)
+	host.reply(conn, second)
+	for n := range maxOvertaken {
+		host.advance(time.Millisecond)
+		first, firstConn := host.send(fmt.Sprint("q.a", n), false)
+		other, otherConn := host.send(fmt.Sprint("q.b", n), false)
+		for _, sent := range []struct {
+			attempt *Attempt
+			conn    ConnID
+		}{{first, firstConn}, {other, otherConn}} {
+			host.connUp(sent.conn)
+			markFullyWritten(sent.attempt)
+			host.reply(sent.conn, sent.attempt)
+		}
+	}
+	if host.pool.conns[conn].suspect {
+		t.Error("the connection is suspect")
+	}
+}
--- a/connpool/selection.go
+++ b/connpool/selection.go
@@ -67,7 +67,7 @@
 	if !conn.acceptsNew() || pool.idleTooLong(conn) {
 		return false
 	}
-	if len(conn.outstanding)+conn.abandonedRunning(pool.now) >= conn.maxAttempts {
+	if conn.unanswered()+conn.abandonedRunning(pool.now) >= conn.maxAttempts {
 		return false
 	}
 	return conn.traits.RepliesNameAttempts || !conn.hasSeen(attempt.Call.SubqueryID)
--- a/coordinator/attempt.go
+++ b/coordinator/attempt.go
@@ -143,11 +143,42 @@
 	c.forgetIfSettled(attempt.subquery)
 }
 
-// replyReceived handles a replica's reply to an attempt. readAt is the loop time at which it was read.
-func (c *Coordinator) replyReceived(attempt *attemptState, reply *replicaproto.Event, readAt time.Duration) {
+// replyUnconfirmed handles a reply to an attempt that is withheld until its length is confirmed. The attempt no longer times
+// out before its query does, as its replica is done with it.
+func (c *Coordinator) replyUnconfirmed(attempt *attemptState, reply *replicaproto.Event, readAt time.Duration) {
+	if attempt.ended {
+		return
+	}
+	attempt.unconfirmed = true
+	c.counts.UnconfirmedReplies++
+	took := readAt - attempt.SentAt
+	if c.Trace {
+		c.trace("reply_unconfirmed=%s replica=%s took=%v", attempt.name(), c.replicas.UID(attempt.replica), took)
+	}
+	c.reportLoad(attempt, reply)
+	c.scheduler.ReplyUnconfirmed(c.loop.Now(), scheduler.UnconfirmedReply{
+		Subquery: attempt.subquery.id,
+		Attempt:  attempt.number,
+		Took:     took,
+	})
+	c.loop.Cancel(attempt.timeoutTimer)
+	attempt.deadline = attempt.subquery.query.deadline
+	timedOut := func() { c.abandonAttempt(attempt, scheduler.TimedOut) }
+	attempt.timeoutTimer = c.loop.After(attempt.deadline-c.loop.Now(), "", timedOut)
+}
+
+// reportLoad notifies the scheduler of the load report in a reply, if there is one.
+func (c *Coordinator) reportLoad(attempt *attemptState, reply *replicaproto.Event) {
 	if reply.CPUUsage >= 0 {
 		c.scheduler.LoadReported(c.loop.Now(), attempt.replica, reply.CPUUsage)
 	}
+}
+
+// replyReceived handles a replica's reply to an attempt. readAt is the loop time at which it was read.
+func (c *Coordinator) replyReceived(attempt *attemptState, reply *replicaproto.Event, readAt time.Duration) {
+	if !attempt.unconfirmed {
+		c.reportLoad(attempt, reply)
+	}
 	took := readAt - attempt.SentAt
 	outcome := c.takeReply(attempt, reply, took)
 	c.attemptEnded(attempt, outcome, took)
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -46,6 +46,9 @@
 	Refused     map[invariant.Reason]int // attempts not sent because of an invariant, without Violations
 	Violations  int                      // decided actions that break an invariant; each is a fault of this program
 	LateReplies int                      // replies to attempts that had already ended
+
+	// UnconfirmedReplies counts replies that were withheld until their length was confirmed.
+	UnconfirmedReplies int
 }
 
 // ReplicaConnCounts counts connections to replicas.
@@ -161,6 +164,7 @@
 		line.add("legs_"+key, counts.Outcomes[outcome])
 	}
 	line.add("late", counts.LateReplies)
+	line.add("unconfirmed", counts.UnconfirmedReplies)
 }
 
 func (counts *Counts) addConnections(line *counterLine) {
--- a/coordinator/query.go
+++ b/coordinator/query.go
@@ -58,7 +58,8 @@
 	endpoint         *replicaconn.Endpoint
 	effect           invariant.Effect  // of running its subquery twice
 	deadline         time.Duration     // loop time at which the attempt times out
-	timeoutTimer     *eventloop.Timer  // for deadline
+	timeoutTimer     *eventloop.Timer  // for deadline, or for its query's once a reply is unconfirmed
+	unconfirmed      bool              // its reply was read and is withheld until its length is confirmed
 	keyTimer         *eventloop.Timer  // for the end of the key's window; nil: none
 	ended            bool              // the scheduler knows the outcome or will be notified in the next iteration
 	outcome          scheduler.Outcome // once ended
--- a/coordinator/replicas.go
+++ b/coordinator/replicas.go
@@ -99,6 +99,15 @@
 	}
 }
 
+// ReplyUnconfirmed handles a reply that is withheld until its length is confirmed.
+func (handler replicaHandler) ReplyUnconfirmed(
+	id connpool.AttemptID, reply *replicaproto.Event, readAt time.Duration,
+) {
+	if attempt := handler.c.attemptsInFlight[id]; attempt != nil {
+		handler.c.replyUnconfirmed(attempt, reply, readAt)
+	}
+}
+
 // LateReply counts a reply to an attempt that had already ended.
 func (handler replicaHandler) LateReply() { handler.c.counts.LateReplies++ }
 
--- a/internal/replicaproto/event.go
+++ b/internal/replicaproto/event.go
@@ -12,6 +12,7 @@
 	GoingAway                // no new calls may be written to this connection
 	PingAnswered             // the replica answered a ping
 	Ready                    // calls may be written
+	Unconfirmed              // a reply was received that Session withholds; it has no value yet
 )
 
 // ReplyStatus is the result of a subquery as its replica reports it.
--- a/internal/replicaproto/frames/session.go
+++ b/internal/replicaproto/frames/session.go
@@ -145,18 +145,27 @@
 	if reply == nil || err != nil {
 		return event, false, err
 	}
-	event = replicaproto.Event{
+	return replyEvent(reply), true, nil
+}
+
+func replyEvent(reply *wire.Reply) replicaproto.Event {
+	return replicaproto.Event{
 		Kind:       replicaproto.Reply,
 		SubqueryID: reply.ID,
 		Status:     replyStatusOf[reply.Status],
 		Value:      reply.Value,
 		CPUUsage:   reply.CPUUsage,
 	}
-	return event, true, nil
 }
 
-// Withheld returns the judgement of the reply that is withheld until it is known what follows it.
-func (session *Session) Withheld() (valuecheck.Judgement, bool) { return session.replies.Withheld() }
+// Withheld returns the reply that is withheld until it is known what follows it.
+func (session *Session) Withheld() (replicaproto.WithheldReply, bool) {
+	reply, judgement := session.replies.Withheld()
+	if reply == nil {
+		return replicaproto.WithheldReply{}, false
+	}
+	return replicaproto.NewWithheldReply(replyEvent(reply), judgement), true
+}
 
 // ReleaseReply lets Next return the withheld reply.
 func (session *Session) ReleaseReply() { session.replies.Release() }
--- a/internal/replicaproto/http2/withheld.go
+++ b/internal/replicaproto/http2/withheld.go
@@ -55,12 +55,12 @@
 	return true, nil
 }
 
-// Withheld returns the judgement of the reply that is withheld until it is known what follows it.
-func (session *Session) Withheld() (valuecheck.Judgement, bool) {
+// Withheld returns the reply that is withheld until it is known what follows it.
+func (session *Session) Withheld() (replicaproto.WithheldReply, bool) {
 	if session.withheld == nil {
-		return valuecheck.Judgement{}, false
+		return replicaproto.WithheldReply{}, false
 	}
-	return session.withheld.judgement, true
+	return replicaproto.NewWithheldReply(session.withheld.event, session.withheld.judgement), true
 }
 
 // ReleaseReply lets Next return the withheld reply.
--- a/internal/replicaproto/session.go
+++ b/internal/replicaproto/session.go
@@ -6,6 +6,19 @@
 	"terntray/valuecheck"
 )
 
+// WithheldReply is a reply that has arrived and is withheld until its length is confirmed.
+type WithheldReply struct {
+	Unconfirmed Event // of kind Unconfirmed
+	Judgement   valuecheck.Judgement
+}
+
+// NewWithheldReply returns what is known of a reply that is withheld.
+func NewWithheldReply(reply Event, judgement valuecheck.Judgement) WithheldReply {
+	reply.Kind = Unconfirmed
+	reply.Value = nil
+	return WithheldReply{Unconfirmed: reply, Judgement: judgement}
+}
+
 // Session is the state machine of one connection. Its methods must not be called concurrently, except ReadBuffer.
 type Session interface {
 	// Queue appends a call to the calls that wait to be written.
@@ -36,10 +49,10 @@
 	// Next returns the next event. If it returns neither an event nor an error, more input is needed. After an error
 	// the connection is unusable, and Output returns its last message.
 	Next() (event Event, ok bool, err error)
-	// Withheld returns the judgement of the reply that Next withholds because a length in it may be wrong, and false if
-	// there is none. Next returns the reply once another message follows it or it is judged otherwise, or an error if
-	// other bytes follow it.
-	Withheld() (judgement valuecheck.Judgement, withholds bool)
+	// Withheld returns the reply that Next withholds because a length in it may be wrong, and false if there is none.
+	// Next returns the reply once another message follows it or it is judged otherwise, or an error if other bytes follow
+	// it.
+	Withheld() (withheld WithheldReply, exists bool)
 	// ReleaseReply lets Next return the withheld reply, as nothing has followed it for long enough.
 	ReleaseReply()
 	// HasPartialMessage reports whether an incomplete message has been received.
--- a/internal/wire/replies.go
+++ b/internal/wire/replies.go
@@ -93,13 +93,12 @@
 	reader.withheld = withheld
 }
 
-// Withheld returns what is known of the reply that is withheld until it is known what follows it. It returns false if
-// there is none.
-func (reader *ReplyReader) Withheld() (valuecheck.Judgement, bool) {
+// Withheld returns the reply that is withheld until it is known what follows it, or nil if there is none.
+func (reader *ReplyReader) Withheld() (*Reply, valuecheck.Judgement) {
 	if reader.withheld == nil {
-		return valuecheck.Judgement{}, false
+		return nil, valuecheck.Judgement{}
 	}
-	return reader.withheld.judgement, true
+	return reader.withheld.reply, reader.withheld.judgement
 }
 
 // Release lets Next return the withheld reply, as nothing has followed it for long enough.
--- a/replicaconn/driver.go
+++ b/replicaconn/driver.go
@@ -32,6 +32,9 @@
 	AttemptEnded(attempt connpool.AttemptID, outcome scheduler.Outcome, took time.Duration)
 	// ReplyReceived reports the reply that ends an attempt, and when it was read.
 	ReplyReceived(attempt connpool.AttemptID, reply *replicaproto.Event, readAt time.Duration)
+	// ReplyUnconfirmed reports that a reply to an attempt was read, but is withheld until its length is confirmed. The
+	// attempt's end follows.
+	ReplyUnconfirmed(attempt connpool.AttemptID, reply *replicaproto.Event, readAt time.Duration)
 	// LateReply counts a reply to an attempt that was abandoned.
 	LateReply()
 	// ConnUp counts an established connection.
@@ -209,6 +212,11 @@
 	switch event.Kind {
 	case replicaproto.Reply:
 		driver.handleReply(id, event, readAt)
+	case replicaproto.Unconfirmed:
+		unconfirmed := driver.pool.ReplyUnconfirmed(now, id, attempt, event.SubqueryID, readAt)
+		if unconfirmed != nil {
+			driver.handler.ReplyUnconfirmed(unconfirmed.ID, event, readAt)
+		}
 	case replicaproto.NeverRan, replicaproto.MayHaveRun:
 		neverRan := event.Kind == replicaproto.NeverRan
 		driver.pool.AttemptSettled(now, id, attempt, neverRan, readAt)
--- a/replicaconn/driver_test.go
+++ b/replicaconn/driver_test.go
@@ -17,14 +17,15 @@
 // ignoringHandler is a Handler that ignores all events and has refused no call.
 type ignoringHandler struct{}
 
-func (ignoringHandler) AttemptEnded(connpool.AttemptID, scheduler.Outcome, time.Duration)    {}
-func (ignoringHandler) ReplyReceived(connpool.AttemptID, *replicaproto.Event, time.Duration) {}
-func (ignoringHandler) LateReply()                                                           {}
-func (ignoringHandler) ConnUp()                                                              {}
-func (ignoringHandler) ConnEvent(ConnEvent)                                                  {}
-func (ignoringHandler) CertificatesExpiring(int)                                             {}
-func (ignoringHandler) HasRefusedCalls() bool                                                { return false }
-func (ignoringHandler) NotifyRefusedCalls()                                                  {}
+func (ignoringHandler) AttemptEnded(connpool.AttemptID, scheduler.Outcome, time.Duration)       {}
+func (ignoringHandler) ReplyReceived(connpool.AttemptID, *replicaproto.Event, time.Duration)    {}
+func (ignoringHandler) LateReply()                                                              {}
+func (ignoringHandler) ConnUp()                                                                 {}
+func (ignoringHandler) ConnEvent(ConnEvent)                                                     {}
+func (ignoringHandler) ReplyUnconfirmed(connpool.AttemptID, *replicaproto.Event, time.Duration) {}
+func (ignoringHandler) CertificatesExpiring(int)                                                {}
+func (ignoringHandler) HasRefusedCalls() bool                                                   { return false }
+func (ignoringHandler) NotifyRefusedCalls()                                                     {}
 
 // newTestDriver returns a driver whose loop does not run.
 func newTestDriver(t *testing.T, limits connpool.Limits) *Driver {
--- a/replicaconn/reader.go
+++ b/replicaconn/reader.go
@@ -9,7 +9,6 @@
 
 	"terntray/internal/netconn"
 	"terntray/internal/replicaproto"
-	"terntray/valuecheck"
 )
 
 const (
@@ -38,10 +37,10 @@
 	At        time.Duration // time of the read, since process start
 
 	bytes      int
-	midMessage bool                 // the last message read is incomplete
-	withholds  bool                 // the session withholds a reply
-	judgement  valuecheck.Judgement // of the reply that the session withholds
-	err        error                // of the read
+	midMessage bool                       // the last message read is incomplete
+	withholds  bool                       // the session withholds a reply
+	withheld   replicaproto.WithheldReply // that reply
+	err        error                      // of the read
 }
 
 // reader reads from one connection until it ends.
@@ -143,7 +142,7 @@
 // noteState notes what the session waits for. The caller holds the connection's mutex.
 func (reader *reader) noteState(input *Input) {
 	input.midMessage = reader.conn.session.HasPartialMessage()
-	input.judgement, input.withholds = reader.conn.session.Withheld()
+	input.withheld, input.withholds = reader.conn.session.Withheld()
 }
 
 // checkMessageDeadline tracks how long a message has been incomplete, and treats one that exceeds its limit as
--- a/replicaconn/withheld.go
+++ b/replicaconn/withheld.go
@@ -89,8 +89,8 @@
 	return input
 }
 
-// trackWithheld starts the wait for a reply that the session now withholds. If the first event is a reply that was
-// withheld before, it is posted with the time at which it was read.
+// trackWithheld starts the wait for a reply that the session now withholds, and adds the event that it has arrived. If the
+// first event is a reply that was withheld before, it is posted with the time at which it was read.
 func (reader *reader) trackWithheld(input *Input) {
 	if reader.withheld.exists() && len(input.Events) > 0 {
 		reader.post(Input{Events: input.Events[:1], At: reader.withheld.readAt})
@@ -102,11 +102,13 @@
 		return
 	}
 	now := time.Now()
+	judgement := input.withheld.Judgement
 	if !reader.withheld.exists() {
-		reader.withheld = withheldReply{readAt: input.At, until: now.Add(input.judgement.Wait)}
+		reader.withheld = withheldReply{readAt: input.At, until: now.Add(judgement.Wait)}
+		input.Events = append(input.Events, input.withheld.Unconfirmed)
 	}
 	reader.withheld.judgeAt = time.Time{}
-	if input.judgement.MayChange {
+	if judgement.MayChange {
 		reader.withheld.judgeAt = now.Add(judgementInterval)
 	}
 }
--- a/scheduler/canary.go
+++ b/scheduler/canary.go
@@ -30,7 +30,7 @@
 
 // suspectedQueryOfDeath reports whether a query may crash the replicas that run it.
 func (q *query) suspectedQueryOfDeath() bool {
-	return q.crashes.count > 0 && q.answered < answersPerCrash*q.crashes.count
+	return q.crashes.count > 0 && q.replied < answersPerCrash*q.crashes.count
 }
 
 // recordConnectionReset records that the connection was reset under an attempt; took is the attempt's age. Several
@@ -61,7 +61,7 @@
 	if !manyCoordinators || len(q.subqueries) <= canaryThreshold || q.attemptsSent == 0 {
 		return false
 	}
-	if q.answered >= 1+answersPerCrash*q.crashes.count {
+	if q.replied >= 1+answersPerCrash*q.crashes.count {
 		return false
 	}
 	steps := math.Floor(float64(now-q.arrivedAt) / float64(canaryStep))
--- a/scheduler/deadline.go
+++ b/scheduler/deadline.go
@@ -181,7 +181,8 @@
 	query.subqueries = nil
 	query.touched = true
 	query.answeredWeight = 0
-	query.answered = 0
+	query.replied = 0
+	query.repliedWeight = 0
 	query.latenessSum = 0
 	query.attemptsSent = 0
 	query.crashes.count = 0
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -8,7 +8,8 @@
 // a method for each event, with the time since the caller's start:
 //
 //   - QueryArrives, then SubqueryArrives for each subquery; ForgetQuery when nobody waits for the answer any more
-//   - AttemptEnds at the end of each attempt, and LoadReported when a replica reports its load
+//   - AttemptEnds at the end of each attempt, ReplyUnconfirmed before it if the reply is withheld for a while, and
+//     LoadReported when a replica reports its load
 //   - EndpointListBegins, then EndpointListed for each entry; EndpointPollFailed
 //   - GossipReceived, Wakeup, ReadDelayed
 //   - UsePhases and StartNextPhase for a query whose caller controls its phases
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -46,6 +46,14 @@
 	Took     time.Duration // from its start to its end, or until its reply was read
 }
 
+// UnconfirmedReply is a reply to an attempt whose value cannot be used until its length is confirmed. The attempt's end
+// follows.
+type UnconfirmedReply struct {
+	Subquery RequestID
+	Attempt  AttemptNumber
+	Took     time.Duration // from the attempt's start until the reply was read
+}
+
 // Outcome is how an attempt ended.
 type Outcome int
 
--- a/scheduler/hedge.go
+++ b/scheduler/hedge.go
@@ -107,7 +107,7 @@
 	best := h.placement.cheapest(attempt.subquery, func(replica *replicaState) time.Duration {
 		return h.cost(now, attempt, replica)
 	})
-	if best == nil || attempt.subquery.query.nearlyAnswered(maxMissingTokenFree) ||
+	if best == nil || attempt.subquery.query.nearlyReplied(maxMissingTokenFree) ||
 		h.tokens*h.headroom(now, best) >= 1 {
 		return best
 	}
@@ -117,7 +117,7 @@
 // wanted reports whether an attempt is a straggler or hangs, and another attempt of its subquery is allowed.
 func (h *hedgePolicy) wanted(now time.Duration, attempt *attempt) bool {
 	subquery := attempt.subquery
-	settled := subquery.answered || subquery.abandoned || subquery.queued
+	settled := subquery.answered || subquery.abandoned || subquery.queued || subquery.hasUnconfirmedReply()
 	if !h.parameters.hedgeAllowed || settled || !h.retries.allowsFurther(now, subquery) || !h.retries.hasRoom() {
 		return false
 	}
@@ -148,9 +148,9 @@
 // relativeFanout returns the number of the query's subqueries divided by manySubqueries.
 func (q *query) relativeFanout() float64 { return float64(len(q.subqueries)) / manySubqueries }
 
-// nearlyAnswered reports whether at most the last twelfth of a query, or at most maxMissing subqueries, is missing.
-func (q *query) nearlyAnswered(maxMissing float64) bool {
-	return q.unanswered() <= max(maxMissing, float64(len(q.subqueries))/lastShareDivisor)
+// nearlyReplied reports whether at most the last twelfth of a query, or at most maxMissing subqueries, has no reply.
+func (q *query) nearlyReplied(maxMissing float64) bool {
+	return q.withoutReply() <= max(maxMissing, float64(len(q.subqueries))/lastShareDivisor)
 }
 
 // stragglerAge returns the age from which an attempt is a straggler: factor times its expected time, scaled by its
@@ -160,15 +160,15 @@
 func (a *attempt) stragglerAge(factor float64) time.Duration {
 	query := a.subquery.query
 	fanout := query.relativeFanout()
-	if query.answered < answeredForHedge*min(1, fanout)*float64(len(query.subqueries)-1) {
+	if query.replied < answeredForHedge*min(1, fanout)*float64(len(query.subqueries)-1) {
 		return math.MaxInt64
 	}
 	slowdown := a.replica.slowdown
 	multiple := max(minStragglerFactor, factor/max(1, fanout))
-	if query.nearlyAnswered(0) {
+	if query.nearlyReplied(0) {
 		multiple = lastStragglerFactor
 		slowdown = min(1, slowdown)
 	}
-	lateness := max(1, (1+query.latenessSum)/(1+query.answered))
+	lateness := max(1, (1+query.latenessSum)/(1+query.replied))
 	return scale(a.expected, multiple*slowdown*lateness)
 }
--- a/scheduler/model_host_test.go
+++ b/scheduler/model_host_test.go
@@ -36,6 +36,11 @@
 	if subquery.query.ended || subquery.answered || m.now >= subquery.query.deadlineAt {
 		m.fail("rule 1: attempt of subquery %d after its end", subquery.id)
 	}
+	for number, attempt := range subquery.attempts {
+		if attempt.unconfirmed && !attempt.ended {
+			m.fail("attempt of subquery %d, though the reply to attempt %d is unconfirmed", subquery.id, number)
+		}
+	}
 	if len(subquery.attempts) >= m.maxAttempts {
 		m.fail("attempt %d of subquery %d exceeds the limit", len(subquery.attempts)+1, subquery.id)
 	}
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -28,6 +28,8 @@
 	sentAt  time.Duration
 	ended   bool
 	outcome Outcome
+
+	unconfirmed bool // its reply was reported as unconfirmed
 }
 
 // provablyNeverRan reports whether the attempt's outcome proves that the replica did not run it.
@@ -341,6 +343,16 @@
 	})
 }
 
+// withholdReply reports an unconfirmed reply to an attempt to the scheduler.
+func (m *model) withholdReply(attempt flight) {
+	attempt.attempt().unconfirmed = true
+	m.scheduler.ReplyUnconfirmed(m.now, UnconfirmedReply{
+		Subquery: attempt.subquery.id,
+		Attempt:  AttemptNumber(attempt.number),
+		Took:     m.now - attempt.attempt().sentAt,
+	})
+}
+
 // flight identifies an attempt in flight.
 type flight struct {
 	subquery *modelSubquery
--- a/scheduler/outlier.go
+++ b/scheduler/outlier.go
@@ -99,14 +99,12 @@
 	return scale(maxProbeInterval, d.parameters.timeScale)
 }
 
-// replied records that a replica answered an attempt. It clears the consecutive errors of the attempt's class there,
-// and counts the earlier attempts in flight there as overtaken once more.
+// replied records that a replica replied to an attempt, and counts the earlier attempts in flight there as overtaken once
+// more.
 func (d *outlierDetector) replied(now time.Duration, answered *attempt) {
 	replica := answered.replica
-	state := replica.forClass(answered.subquery.query.class)
 	replica.lastReplyAt = now
-	state.lastReplyAt = now
-	state.consecutiveErrors = 0
+	replica.forClass(answered.subquery.query.class).lastReplyAt = now
 	for _, other := range replica.outstanding {
 		if other.sentAt < answered.sentAt {
 			other.overtaken++
@@ -114,6 +112,11 @@
 	}
 }
 
+// succeeded records that a reply can be used. It clears the consecutive errors of a class at the replica.
+func (d *outlierDetector) succeeded(replica *replicaState, class *class) {
+	replica.forClass(class).consecutiveErrors = 0
+}
+
 // failed records that an attempt of a class ended without an answer, and ejects the replica for that class at
 // errorLimit. Several attempts that end at the same time count as one.
 func (d *outlierDetector) failed(now time.Duration, replica *replicaState, class *class) {
--- a/scheduler/query.go
+++ b/scheduler/query.go
@@ -56,9 +56,10 @@
 	awaitsNextPhase    bool // its phase is answered; StartNextPhase gives the number of subqueries of the next
 	expectedSubqueries int
 	subqueries         []*subquery
-	answered           float64 // number of answered subqueries
+	replied            float64 // number of subqueries with a reply, confirmed or not
+	repliedWeight      float64 // weight of those subqueries
+	latenessSum        float64 // sum of latency over expected latency of those subqueries
 	answeredWeight     float64 // weight of the answered subqueries
-	latenessSum        float64 // sum of latency over expected latency of the answered subqueries
 	attemptsSent       float64
 
 	attemptsUsed map[ShardNumber]int // attempts of earlier phases, by shard
@@ -77,7 +78,9 @@
 	queued       bool
 	replica      *replicaState // the replica that it is queued for; nil: none yet
 	answered     bool
-	abandoned    bool // it gets no further attempt
+	replied      bool    // it is answered, or a reply to it is unconfirmed
+	lateness     float64 // latency over expected latency of that reply
+	abandoned    bool    // it gets no further attempt
 	attempts     []*attempt
 	attemptsUsed int  // of its allowed attempts, those used by earlier phases or reserved for the next
 	isRetry      bool // an earlier phase had attempts at its shard, so its first attempt is a retry
@@ -90,6 +93,7 @@
 	sentAt        time.Duration
 	work          time.Duration // expected work of the subquery
 	expected      time.Duration // expected latency at a replica with slowdown 1: its work and that in flight before it
+	replied       bool          // its replica has replied; until the attempt ends the reply is unconfirmed
 	ended         bool
 	mayHaveRun    bool // its outcome does not prove that the replica never ran it
 	overtaken     int  // number of later attempts at the replica that have been answered since
@@ -113,6 +117,11 @@
 // inFlight reports whether any attempt has not ended.
 func (s *subquery) inFlight() bool { return s.lastInFlight() != nil }
 
+// hasUnconfirmedReply reports whether a reply to the subquery is withheld until its length is confirmed.
+func (s *subquery) hasUnconfirmedReply() bool {
+	return slices.ContainsFunc(s.attempts, func(attempt *attempt) bool { return attempt.replied && !attempt.ended })
+}
+
 // firstThatMayHaveRun returns the first attempt that may have run at its replica, or nil if none can have.
 func (s *subquery) firstThatMayHaveRun() *attempt {
 	for _, attempt := range s.attempts {
@@ -174,8 +183,28 @@
 	return weight >= minimum
 }
 
-// unanswered returns the number of subqueries without an answer.
-func (q *query) unanswered() float64 { return float64(len(q.subqueries)) - q.answered }
+// withoutReply returns the number of subqueries without a reply.
+func (q *query) withoutReply() float64 { return float64(len(q.subqueries)) - q.replied }
+
+// recordReply records the first reply to a subquery, which may be unconfirmed.
+func (q *query) recordReply(subquery *subquery, lateness float64) {
+	if subquery.replied {
+		return
+	}
+	subquery.replied = true
+	subquery.lateness = lateness
+	q.replied++
+	q.repliedWeight += subquery.weight
+	q.latenessSum += lateness
+}
+
+// retractReply takes back the reply to a subquery, after it proved to be malformed.
+func (q *query) retractReply(subquery *subquery) {
+	subquery.replied = false
+	q.replied--
+	q.repliedWeight -= subquery.weight
+	q.latenessSum -= subquery.lateness
+}
 
 // isActive reports whether the query is open and the subqueries of its current phase have arrived.
 func (q *query) isActive() bool { return !q.ended && !q.awaitsSubqueries() }
--- a/scheduler/results.go
+++ b/scheduler/results.go
@@ -22,12 +22,10 @@
 // AttemptEnds handles the end of an attempt. It ignores attempts that are unknown or have ended before.
 func (scheduler *Scheduler) AttemptEnds(now time.Duration, result AttemptResult) {
 	scheduler.advanceClock(now)
-	subquery := scheduler.subqueries[result.Subquery]
-	number := int(result.Attempt)
-	if subquery == nil || number < 0 || number >= len(subquery.attempts) || subquery.attempts[number].ended {
+	ended := scheduler.openAttempt(result.Subquery, result.Attempt)
+	if ended == nil {
 		return
 	}
-	ended := subquery.attempts[number]
 	scheduler.recordEnd(ended, result.Outcome)
 	switch result.Outcome {
 	case Succeeded:
@@ -36,14 +34,44 @@
 		scheduler.attemptFailed(ended, result.Outcome, result.Took)
 	case Cancelled, NeverSent: // no effect on the replica
 	}
-	scheduler.continueSubquery(subquery)
+	scheduler.continueSubquery(ended.subquery)
 }
 
-// recordEnd removes an ended attempt from its replica's load and reports it to the peers.
+// ReplyUnconfirmed handles a reply that is withheld until its length is confirmed. What the reply shows about the replica
+// holds whether or not its value can be used: the replica has done its work, and how long it took. The subquery is not
+// sent again for being late, since its attempt fails if the reply proves to be malformed.
+func (scheduler *Scheduler) ReplyUnconfirmed(now time.Duration, reply UnconfirmedReply) {
+	scheduler.advanceClock(now)
+	replied := scheduler.openAttempt(reply.Subquery, reply.Attempt)
+	if replied == nil || replied.replied {
+		return
+	}
+	replied.subquery.query.touched = true
+	scheduler.leaveReplica(replied, false)
+	scheduler.replyArrived(replied, reply.Took)
+}
+
+// openAttempt returns an attempt, or nil if it is unknown or has ended.
+func (scheduler *Scheduler) openAttempt(id RequestID, number AttemptNumber) *attempt {
+	subquery := scheduler.subqueries[id]
+	if subquery == nil || number < 0 || int(number) >= len(subquery.attempts) || subquery.attempts[number].ended {
+		return nil
+	}
+	return subquery.attempts[number]
+}
+
+// recordEnd records the end of an attempt. Unless a reply to it was recorded before, the attempt leaves its replica now.
 func (scheduler *Scheduler) recordEnd(ended *attempt, outcome Outcome) {
 	ended.subquery.query.touched = true
 	ended.ended = true
 	ended.mayHaveRun = outcome != Overloaded && outcome != Unreachable && outcome != NeverSent
+	if !ended.replied {
+		scheduler.leaveReplica(ended, outcome == Cancelled)
+	}
+}
+
+// leaveReplica removes an attempt from its replica's load and reports that to the peers.
+func (scheduler *Scheduler) leaveReplica(ended *attempt, cancelled bool) {
 	ended.replica.removeOutstanding(func(other *attempt) bool { return other == ended })
 	if scheduler.parameters.gossipEnabled {
 		age := scheduler.now - ended.sentAt - scheduler.stalled
@@ -51,40 +79,67 @@
 			attempt:   ended,
 			lateness:  float64(age+latencyJitter) / float64(ended.expected+latencyJitter),
 			readLate:  scheduler.readDelay != 0,
-			cancelled: outcome == Cancelled,
+			cancelled: cancelled,
 		})
 	}
 }
 
-// attemptSucceeded passes a reply to the policies and records the answer.
-func (scheduler *Scheduler) attemptSucceeded(ended *attempt, took time.Duration) {
-	replica, subquery := ended.replica, ended.subquery
+// replyArrived passes to the policies what a reply shows about its replica and its query, whatever its value.
+func (scheduler *Scheduler) replyArrived(replied *attempt, took time.Duration) {
+	replied.replied = true
+	replica, subquery := replied.replica, replied.subquery
 	query := subquery.query
 	scheduler.slowStart.answered(replica, scheduler.now)
-	scheduler.outliers.replied(scheduler.now, ended)
-	scheduler.retries.earn(replica)
+	scheduler.outliers.replied(scheduler.now, replied)
 	scheduler.limits.raiseCeiling(replica)
-	scheduler.hedges.earn(scheduler.now, replica)
 	scheduler.estimates.learn(scheduler.now, observedReply{
-		attempt:   ended,
+		attempt:   replied,
 		took:      took,
 		stalled:   scheduler.stalled,
 		readDelay: scheduler.readDelay,
 		warmingUp: scheduler.slowStart.warmingUp(replica, scheduler.now),
 	})
+	if !replica.forClass(query.class).ejected {
+		scheduler.limits.replied(scheduler.now, replica, scheduler.halvingInterval(replica))
+	}
+	query.recordAnswer(replied)
+	if !subquery.answered && !subquery.abandoned && !query.ended {
+		lateness := float64(took) / float64(scale(replied.expected, replica.slowdown)+1)
+		query.recordReply(subquery, lateness)
+		scheduler.recordIfRepliesSuffice(query)
+	}
+}
+
+// recordIfRepliesSuffice records that a query met its objective once the replies to it suffice for an answer, if one of
+// them is unconfirmed: the wait for its confirmation is no sign of overload.
+func (scheduler *Scheduler) recordIfRepliesSuffice(query *query) {
+	complete, _ := query.requiredWeights()
+	hasUnconfirmed := query.repliedWeight > query.answeredWeight
+	isLastPhase := query.class.fetchSubqueries == 0 && !query.callerEndsPhases || query.phase > 0
+	inTime := scheduler.now <= query.objectiveAt
+	if hasUnconfirmed && isLastPhase && inTime && query.repliedWeight >= complete {
+		scheduler.admission.recordOutcome(scheduler.now, query, true)
+	}
+}
+
+// attemptSucceeded passes a reply to the policies and records the answer.
+func (scheduler *Scheduler) attemptSucceeded(ended *attempt, took time.Duration) {
+	replica, subquery := ended.replica, ended.subquery
+	query := subquery.query
+	if !ended.replied {
+		scheduler.replyArrived(ended, took)
+	}
+	scheduler.outliers.succeeded(replica, query.class)
+	scheduler.retries.earn(replica)
+	scheduler.hedges.earn(scheduler.now, replica)
 	if replica.forClass(query.class).ejected {
 		scheduler.outliers.reinstate(replica, query.class)
-	} else {
-		scheduler.limits.replied(scheduler.now, replica, scheduler.halvingInterval(replica))
 	}
-	query.recordAnswer(ended)
 	if subquery.answered || subquery.abandoned || query.ended {
 		return
 	}
 	subquery.answered = true
-	query.answered++
 	query.answeredWeight += subquery.weight
-	query.latenessSum += float64(took) / float64(scale(ended.expected, replica.slowdown)+1)
 	scheduler.stopSending(subquery)
 }
 
@@ -103,6 +158,16 @@
 		query.recordConnectionReset(scheduler.now, replica, took)
 	}
 	scheduler.outliers.failed(scheduler.now, replica, query.class)
+	scheduler.retractReply(ended.subquery)
+}
+
+// retractReply takes back the unconfirmed reply to a subquery if it was malformed and no other is left.
+func (scheduler *Scheduler) retractReply(subquery *subquery) {
+	query := subquery.query
+	isOpen := !subquery.answered && !subquery.abandoned && !query.ended
+	if isOpen && subquery.replied && !subquery.hasUnconfirmedReply() {
+		query.retractReply(subquery)
+	}
 }
 
 // halvingInterval returns the minimum time between two halvings of a replica's concurrency limit: about the latency of
