Confirm HTTP/2 replies by a ping in place of a wait

Callers: HTTP/2 replies without a content-length took up to 350 ms longer from a fresh start on, while the sizes of values varied.

Cause: a withheld reply waited for whatever frame came next. Nothing comes on an idle connection.

Change: a PING goes out when a reply is withheld, one at a time. Its answer comes behind all bytes of the frame before, so it shows within a round trip whether the length fitted. As the follower now decides at once, its header must be that of a frame that may come there: a known type, and a stream that was opened or none; other bytes are malformed, unknown types do not confirm. The fake replica no longer answers a ping in the middle of a frame that it writes in two parts, which no replica can (RFC 9113, 4.1).

--- a/cmd/terntray/withheld_test.go
+++ b/cmd/terntray/withheld_test.go
@@ -5,10 +5,31 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"terntray/internal/valuetrial"
 )
 
+// Guards against values that wait for the end of the confirmation time where a ping can confirm them at once: HTTP/2 replies
+// without a content-length, from the start of a process on.
+func TestHTTP2ValuesOfManySizesAreNotDelayed(t *testing.T) {
+	const (
+		queries = 41
+		rate    = 20                    // per second
+		limit   = 20 * time.Millisecond // the wait of any reply before replies were judged, as for frames
+	)
+	result, err := valuetrial.Run(valuetrial.Options{
+		Path: os.Args[0], Env: []string{mainVariable + "=1"},
+		Class: valuetrial.Safe, HTTP2: true, Sizes: 3000, Queries: queries, Rate: rate, Seed: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if median := result.Percentile(0.5); median >= limit || len(result.Latencies) != queries {
+		t.Errorf("median %v of %d queries, want under %v of %d", median, len(result.Latencies), limit, queries)
+	}
+}
+
 // Guards against decisions that do not know of a reply because it is withheld until its length is confirmed: the subquery is
 // sent again although a replica has answered it, and sound replicas are ejected as silent. It shows with values of more
 // than one size, from the start of a process on, where the latency objective is short.
--- a/internal/fake/longlength.go
+++ b/internal/fake/longlength.go
@@ -46,6 +46,10 @@
 		takenIn += len(following) + 1
 	}
 	message := append(head(len(value)+takenIn), value...)
+	if first.http2 != nil { // no other frame, such as the answer to a ping, can interrupt one (RFC 9113, 4.1)
+		first.http2.mu.Lock()
+		defer first.http2.mu.Unlock()
+	}
 	writeInParts(first.Conn, append(message, following...), len(message)+takenIn, long.Delay)
 }
 
--- a/internal/replicaproto/http2/fakereplica_test.go
+++ b/internal/replicaproto/http2/fakereplica_test.go
@@ -54,15 +54,20 @@
 	}
 }
 
-// feed passes the bytes for the session to it one at a time and collects its events. Nothing follows these bytes: a
-// reply that the session still withholds is released.
-func (replica *fakeReplica) feed() {
+// read passes the bytes for the session to it one at a time and collects its events.
+func (replica *fakeReplica) read() {
 	for _, b := range replica.toSession.Bytes() {
 		replica.session.ReadBuffer()[0] = b
 		replica.session.Filled(1)
 		replica.collectEvents()
 	}
 	replica.toSession.Reset()
+}
+
+// feed passes the bytes for the session to it. Nothing follows these bytes: a reply that the session still withholds is
+// released.
+func (replica *fakeReplica) feed() {
+	replica.read()
 	if _, withholds := replica.session.Withheld(); withholds {
 		replica.session.ReleaseReply()
 		replica.collectEvents()
--- a/internal/replicaproto/http2/frames_in.go
+++ b/internal/replicaproto/http2/frames_in.go
@@ -123,6 +123,7 @@
 
 func (session *Session) onPing(frame *http2.PingFrame) {
 	if frame.IsAck() {
+		session.pingsAnswered = min(session.pingsAnswered+1, session.pingsSent)
 		session.emit(replicaproto.Event{Kind: replicaproto.PingAnswered})
 		return
 	}
--- a/internal/replicaproto/http2/session.go
+++ b/internal/replicaproto/http2/session.go
@@ -56,6 +56,7 @@
 	sendWindow     int64 // of the connection
 	receiveWindow  receiveWindow
 	pingsSent      uint64
+	pingsAnswered  uint64
 	goingAway      bool   // no new stream may be opened
 	lastAccepted   uint32 // the last stream ID of the replica's GOAWAY
 	closeAnnounced bool
--- a/internal/replicaproto/http2/withheld.go
+++ b/internal/replicaproto/http2/withheld.go
@@ -12,6 +12,9 @@
 )
 
 // withheldReply is a reply that has ended, but was not emitted yet.
+//
+// A ping is sent behind its receipt: the replica answers pings in order, behind all bytes of the frame that carries the
+// reply. So the answer follows a sound reply within a round trip, and the rest of a value that was cut short comes first.
 type withheldReply struct {
 	event     replicaproto.Event
 	value     valuecheck.Observation
@@ -36,9 +39,7 @@
 	withheld := session.withheld
 	withheld.judgement = session.values.Judge(withheld.value, withheld.content)
 	verdict := withheld.judgement.Verdict
-	input := session.input.Bytes()
-	_, err = payloadLength(input)
-	hasFollower := len(input) >= frameHeaderSize
+	hasFollower, err := session.checkFollower(session.input.Bytes())
 	switch {
 	case verdict == valuecheck.Malformed:
 		return false, fmt.Errorf("%w: a value contains other frames", http2.ConnectionError(http2.ErrCodeProtocol))
@@ -46,6 +47,7 @@
 	case err != nil:
 		return false, err
 	case verdict == valuecheck.Uncertain && !hasFollower && !withheld.released:
+		session.pingToConfirm()
 		return false, nil
 	}
 	session.values.Accept(withheld.value)
@@ -55,6 +57,13 @@
 	return true, nil
 }
 
+// pingToConfirm sends a ping unless the answer to an earlier one is still to come: that follows the reply as well.
+func (session *Session) pingToConfirm() {
+	if session.pingsAnswered == session.pingsSent {
+		session.Ping()
+	}
+}
+
 // Withheld returns the reply that is withheld until it is known what follows it.
 func (session *Session) Withheld() (replicaproto.WithheldReply, bool) {
 	if session.withheld == nil {
@@ -84,6 +93,30 @@
 	session.values.MalformedReceived()
 }
 
+// checkFollower reports whether the input begins with the header of a frame that a replica may send now. It returns false
+// while that is not known, as bytes are missing or the type has no meaning here, and an error if the bytes are no frame.
+func (session *Session) checkFollower(input []byte) (isFrame bool, err error) {
+	if _, err := payloadLength(input); err != nil || len(input) < frameHeaderSize {
+		return false, err
+	}
+	stream := binary.BigEndian.Uint32(input[frameHeaderSize-4:]) & maxStreamID // without the reserved bit
+	switch http2.FrameType(input[3]) {
+	case http2.FrameData, http2.FrameHeaders, http2.FrameRSTStream:
+		err = session.checkWasOpened(stream)
+	case http2.FrameSettings, http2.FramePing, http2.FrameGoAway:
+		if stream != 0 {
+			err = http2.ConnectionError(http2.ErrCodeProtocol)
+		}
+	case http2.FrameWindowUpdate:
+		if stream != 0 {
+			err = session.checkWasOpened(stream)
+		}
+	default:
+		return false, nil
+	}
+	return err == nil, err
+}
+
 // findFrames looks for frames in a value, as a DATA frame whose length is too large takes them in. The last one may be
 // incomplete.
 func (session *Session) findFrames(value []byte) valuecheck.Content {
--- /dev/null
+++ b/internal/replicaproto/http2/withheld_test.go
@@ -0,0 +1,68 @@
+package http2
+
+import (
+	"slices"
+	"testing"
+)
+
+// withholdReply makes the session withhold the reply to a call, of which a number of bytes are missing.
+func withholdReply(t *testing.T, value string, missing int) *fakeReplica {
+	t.Helper()
+	replica := newFakeReplica(t)
+	replica.expectEvents("ready")
+	replica.queueCall(3, 4)
+	replica.sentFrames()
+	replica.respond(1, value[:len(value)-missing])
+	replica.read()
+	if _, withholds := replica.session.Withheld(); !withholds {
+		t.Fatal("the reply is not withheld")
+	}
+	return replica
+}
+
+// A value that nothing follows would be delayed although the replica has sent all of it. The answer to a ping shows that:
+// it is sent behind the value.
+func TestAnswerToAPingConfirmsAWithheldReply(t *testing.T) {
+	replica := withholdReply(t, "value", 0)
+	if got := replica.sentFrames(); !slices.Contains(got, "ping") {
+		t.Fatalf("the session sent %q", got)
+	}
+	replica.framer.WritePing(true, [8]byte{1})
+	replica.read()
+	replica.expectEvents("reply 1 0 value", "ping answered")
+}
+
+// The rest of a value that was cut short comes before the answer to the ping, at once or piece by piece. The value is not
+// served, also where the rest looks like the header of a frame.
+func TestRestOfAValueBeforeTheAnswerToAPingIsMalformed(t *testing.T) {
+	for _, rest := range []string{"e", "value", "\x00\x00\x01\x00\x00\x00\x00\x00"} {
+		replica := withholdReply(t, "a"+rest, len(rest))
+		replica.toSession.WriteString(rest)
+		replica.read()
+		replica.framer.WritePing(true, [8]byte{1})
+		replica.read()
+		if len(replica.events) > 0 || replica.err == nil {
+			t.Errorf("%q: events %+v, error %v", rest, replica.events, replica.err)
+		}
+	}
+}
+
+// One ping at a time is enough, whatever replies are withheld: its answer follows all of them.
+func TestOnePingConfirmsSeveralReplies(t *testing.T) {
+	replica := newFakeReplica(t)
+	replica.expectEvents("ready")
+	replica.queueCall(3, 4)
+	replica.queueCall(4, 4)
+	replica.sentFrames()
+	replica.respond(1, "first")
+	replica.read()
+	replica.respond(3, "second")
+	replica.read()
+	pings := slices.DeleteFunc(replica.sentFrames(), func(frame string) bool { return frame != "ping" })
+	if len(pings) != 1 {
+		t.Errorf("%d pings", len(pings))
+	}
+	replica.framer.WritePing(true, [8]byte{1})
+	replica.read()
+	replica.expectEvents("reply 1 0 first", "reply 2 0 second", "ping answered")
+}
