Let non-idempotent attempts follow a withheld reply on its connection

Cause: such an attempt has its connection to itself until its end, and a withheld reply kept the attempt, so that nothing came behind the reply and each attempt opened a connection.

Change: a connection on which only a reply is withheld counts as idle. The replica is done with that attempt, and the next reply confirms the withheld one. For 10 s after malformed input it does not, as that would spoil both.

Both tests of it fail without the change of shouldAvoid.

--- a/connpool/pool.go
+++ b/connpool/pool.go
@@ -47,6 +47,8 @@
 	idleTimeout time.Duration
 	// avoidIdleUntil is the time until which non-idempotent attempts avoid connections that have been idle.
 	avoidIdleUntil time.Duration
+	// distrustInputUntil is the time until which a withheld reply counts as likely to be malformed.
+	distrustInputUntil time.Duration
 	// pendingResets are connections that ended a moment ago, until it is known whether their replica is still alive.
 	pendingResets map[ConnID]*pendingReset
 }
@@ -101,6 +103,9 @@
 		conn.idleBefore = pool.now - conn.idleSince
 	}
 	attempt.conn = conn
+	if conn.unanswered() == 0 {
+		conn.exclusive = false
+	}
 	conn.outstanding = append(conn.outstanding, attempt)
 	if attempt.NonIdempotent && !conn.traits.Multiplexed {
 		conn.exclusive = true
--- a/connpool/replies.go
+++ b/connpool/replies.go
@@ -7,6 +7,9 @@
 	"terntray/scheduler"
 )
 
+// distrustInputFor is the time after malformed input within which more of it is likely, on any connection.
+const distrustInputFor = 10 * time.Second
+
 // BytesReceived notifies the pool that input of any kind, including the answer to a ping, was read from a connection.
 func (pool *Pool) BytesReceived(now time.Duration, id ConnID, readAt time.Duration) {
 	pool.now = now
@@ -111,6 +114,9 @@
 
 // fail closes a connection that is itself at fault.
 func (pool *Pool) fail(conn *connection, kind EventKind, cause error) {
+	if kind == Malformed {
+		pool.distrustInputUntil = pool.now + distrustInputFor
+	}
 	if conn.state != closing {
 		conn.failed = true
 		pool.record(conn, kind, cause)
--- a/connpool/replies_test.go
+++ b/connpool/replies_test.go
@@ -85,3 +85,41 @@
 		t.Error("the connection is suspect")
 	}
 }
+
+// A non-idempotent attempt has its connection to itself, but a replica that has replied is done: the next one may follow on
+// that connection, where its reply confirms the withheld one. It does not while malformed input would spoil both.
+func TestNonIdempotentAttemptsFollowWithheldReplies(t *testing.T) {
+	host := newFakeHostFor(t, replicaproto.Frames, Limits{MaxAttemptsPerConn: 8, MaxConns: 9})
+	first, conn := host.send("q.1", true)
+	host.connUp(conn)
+	markFullyWritten(first)
+	if _, other := host.send("q.2", true); other == conn {
+		t.Error("two non-idempotent attempts share a connection")
+	}
+	host.withholdReply(conn, first)
+	if _, next := host.send("q.3", true); next != conn {
+		t.Errorf("the next attempt is on connection %d, want %d", next, conn)
+	}
+	if _, other := host.send("q.4", true); other == conn {
+		t.Error("two non-idempotent attempts share a connection behind a withheld reply")
+	}
+}
+
+// Malformed input was received lately, so a withheld reply may well be malformed too: a non-idempotent attempt keeps away.
+func TestNonIdempotentAttemptsAvoidWithheldRepliesAfterMalformedInput(t *testing.T) {
+	host := newFakeHostFor(t, replicaproto.Frames, Limits{MaxAttemptsPerConn: 8, MaxConns: 9})
+	first, conn := host.send("q.1", true)
+	_, spoilt := host.send("q.2", true)
+	host.connUp(conn)
+	host.connUp(spoilt)
+	markFullyWritten(first)
+	host.withholdReply(conn, first)
+	host.pool.MalformedReceived(host.now, spoilt, errors.New("malformed"))
+	if _, other := host.send("q.3", true); other == conn {
+		t.Error("a non-idempotent attempt shares a connection with a withheld reply")
+	}
+	host.advance(distrustInputFor)
+	if _, next := host.send("q.4", true); next != conn {
+		t.Errorf("after %v the next attempt is on connection %d, want %d", distrustInputFor, next, conn)
+	}
+}
--- a/connpool/selection.go
+++ b/connpool/selection.go
@@ -10,6 +10,8 @@
 //     idle for longest: a malformed reply to another attempt, or a replica that closes the connection after a reply,
 //     would leave it unknown whether the attempt ran. If connections have recently broken on their first use after
 //     being idle, a new one is opened for it. A replica may exceed its share by a connection or two because of this.
+//   - A connection on which only a reply is withheld counts as idle: its replica is done with the attempt, and the next
+//     reply confirms the withheld one. Where malformed input was received lately it does not, as that would spoil both.
 //   - Where the protocol is multiplexed, one connection carries as many attempts as its replica accepts, and another is
 //     opened only beyond that, up to Limits.MaxSharedConns.
 
@@ -77,19 +79,28 @@
 func (pool *Pool) shouldAvoid(conn *connection, attempt *Attempt) bool {
 	needsFresh := pool.needsFreshConn(attempt)
 	isUp := conn.state == established
-	isIdle := len(conn.outstanding) == 0
 	if conn.traits.Multiplexed {
+		isIdle := len(conn.outstanding) == 0
 		return needsFresh && isUp && isIdle && pool.now-conn.idleSince >= pool.limits.ConnectTimeout
 	}
+	sharing := pool.sharing(conn)
 	switch {
-	case conn.exclusive, len(conn.outstanding) >= attemptsBeforeNewConn:
+	case sharing > 0 && conn.exclusive, sharing >= attemptsBeforeNewConn:
 		return true
-	case attempt.NonIdempotent && !isIdle:
+	case attempt.NonIdempotent && sharing > 0:
 		return true
 	}
 	return needsFresh && isUp
 }
 
+// sharing returns the number of attempts with which another one would share the risk of a failure of the connection.
+func (pool *Pool) sharing(conn *connection) int {
+	if pool.now < pool.distrustInputUntil {
+		return len(conn.outstanding)
+	}
+	return conn.unanswered()
+}
+
 // needsFreshConn reports whether an attempt should be sent on a new connection: it is non-idempotent, and connections
 // have recently broken on their first use after being idle.
 func (pool *Pool) needsFreshConn(attempt *Attempt) bool {
