Answer what arrives during a shutdown before the earliest SIGKILL

Cause: the shutdown knew its own 0.7 s, but not the deployment's deadlines. Such a request was answered by its own deadline, and the final accept could start over for 3 s whatever they are.

Change: a query that arrives during the shutdown is answered 0.1 s before the earliest SIGKILL (server.AnswerBy), reckoned from the start of the stall if the signal came in one. The final accept ends then too. Queries that were open at the signal end by their own deadlines, which are earlier, but for classes of more than 3 s.

The fixture of the server's tests counts a longest deadline of 10 s, as finalAcceptMayRestart followed from 3 s of its own before.

--- a/coordinator/arrival.go
+++ b/coordinator/arrival.go
@@ -31,7 +31,7 @@
 	case c.isFull():
 		c.counts.RejectedFull++
 		c.rejectArrival(from, "too much is open")
-	case arrived+request.Timeout <= c.loop.Now():
+	case c.deadlineOf(request, arrived) <= c.loop.Now():
 		c.counts.RejectedExpired++
 		c.rejectArrival(from, "its time was over before it was read")
 	default:
@@ -41,6 +41,15 @@
 	c.arriving = nil
 }
 
+// deadlineOf returns the time by which a query is answered: its client's deadline, or earlier during a shutdown.
+func (c *Coordinator) deadlineOf(request *wire.Query, arrived time.Duration) time.Duration {
+	deadline := arrived + request.Timeout
+	if answerBy, limited := c.server.AnswerBy(); limited {
+		return min(deadline, answerBy)
+	}
+	return deadline
+}
+
 // isFull reports whether too much is open to accept another query.
 func (c *Coordinator) isFull() bool {
 	return c.openWork >= c.maxOpen || c.server.IsNearConnLimit(len(c.queries))
@@ -78,7 +87,7 @@
 		client:   from,
 		request:  request,
 		arrived:  arrived,
-		deadline: arrived + request.Timeout,
+		deadline: c.deadlineOf(request, arrived),
 	}
 	if request.TwoPhase != nil {
 		if err := c.beginTwoPhase(query); err != nil {
--- a/coordinator/clients.go
+++ b/coordinator/clients.go
@@ -28,6 +28,9 @@
 func (c *Coordinator) serverConfig() server.Config {
 	limits := c.deployment.Limits
 	config := server.Config{Classes: c.serverClasses(), MemoryMB: limits.MemoryMB, Sockets: limits.Sockets}
+	for _, class := range c.schedulerConfig.Classes {
+		config.LongestDeadline = max(config.LongestDeadline, class.Deadline)
+	}
 	if limits.Sockets > 0 {
 		config.ReservedSockets = reservedSockets + maxReplicaConns(limits.Sockets)
 	}
--- a/server/limits.go
+++ b/server/limits.go
@@ -62,3 +62,10 @@
 	shutdownAcceptTime = 700 * time.Millisecond // after the start of shutdown, in which clients may still connect
 	finalAcceptTime    = 50 * time.Millisecond  // then, to accept connections already queued by the kernel
 )
+
+// The platform may kill the process from shutdownAcceptTime and the longest deadline of any class after the start of
+// shutdown.
+const (
+	maxCountedDeadline = 3 * time.Second        // longer deadlines of classes count as this
+	killMargin         = 100 * time.Millisecond // before that, in which answers reach their clients
+)
--- a/server/server.go
+++ b/server/server.go
@@ -71,6 +71,7 @@
 // Config configures a Server.
 type Config struct {
 	Classes         map[string]Class // by the first element of the request path
+	LongestDeadline time.Duration    // of all classes; after a shutdown the process may be killed depending on it
 	MemoryMB        int              // memory limit of the process; 0 for none
 	Sockets         int              // descriptor limit of the process; 0 for none
 	ReservedSockets int              // descriptors reserved for uses other than client connections
@@ -83,6 +84,8 @@
 	log     *log.Logger
 	classes map[string]Class
 
+	longestDeadline time.Duration
+
 	listener      net.Listener
 	slots         connSlots
 	requestMemory requestMemory
@@ -90,6 +93,7 @@
 	running       sync.WaitGroup // goroutines of the listener and the connections
 
 	shutdownStart atomic.Pointer[time.Time] // nil until Shutdown is called
+	answerBy      atomic.Pointer[time.Time] // see AnswerBy; nil until then
 
 	accepted       atomic.Int64
 	shed           atomic.Int64
@@ -103,6 +107,8 @@
 		loop:    loop,
 		log:     logger,
 		classes: config.Classes,
+
+		longestDeadline: config.LongestDeadline,
 	}
 	maxConns := config.maxConns()
 	server.slots = newConnSlots(maxConns)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -49,7 +49,7 @@
 
 func newFixture() fixture {
 	handler, loop := &recorder{}, eventloop.New()
-	config := Config{Classes: map[string]Class{
+	config := Config{LongestDeadline: 10 * time.Second, Classes: map[string]Class{
 		"look":   {MaxTimeout: time.Minute},
 		"keyed":  {MaxTimeout: time.Minute, Effect: invariant.Keyed},
 		"staged": {MaxTimeout: time.Minute, TwoStep: true},
@@ -95,7 +95,11 @@
 }
 
 // shutDown sets the state as if Shutdown had been called at a time, without closing the listener later.
-func (f fixture) shutDown(at time.Time) { f.server.shutdownStart.Store(&at) }
+func (f fixture) shutDown(at time.Time) {
+	answerBy := at.Add(f.server.timeToAnswer())
+	f.server.answerBy.Store(&answerBy)
+	f.server.shutdownStart.Store(&at)
+}
 
 // upRequest is a request that is answered without using the event loop.
 const upRequest = "GET /up HTTP/1.1\r\nHost: b\r\n\r\n"
--- a/server/shutdown_test.go
+++ b/server/shutdown_test.go
@@ -60,3 +60,26 @@
 		t.Errorf("right after the start of shutdown only %v remain", left)
 	}
 }
+
+// The platform may kill the process from 0.7 s and the longest deadline after the signal, of which no more than 3 s count. What
+// arrives is answered before that, also if the process was stalled when the signal was sent.
+func TestAnswersPrecedeTheEarliestKill(t *testing.T) {
+	for _, test := range []struct{ longest, delayed, kill time.Duration }{
+		{420 * time.Millisecond, 0, 1120 * time.Millisecond},
+		{420 * time.Millisecond, 150 * time.Millisecond, 970 * time.Millisecond},
+		{30 * time.Second, 0, 3700 * time.Millisecond},
+	} {
+		f := newFixture()
+		f.server.longestDeadline = test.longest
+		f.server.listener = newListener(t)
+		if _, limited := f.server.AnswerBy(); limited {
+			t.Error("limited before the shutdown")
+		}
+		now := f.server.now()
+		f.server.Shutdown(test.delayed, func() {})
+		answerBy, limited := f.server.AnswerBy()
+		if left := answerBy - now; !limited || left >= test.kill || left < test.kill/2 {
+			t.Errorf("%+v: answered within %v", test, left)
+		}
+	}
+}
