Ignore later signals until the process has ended

Operators: a process that got SIGTERM, SIGINT or both more than once ended by the signal in place of status 0, and the end of its log was missing.

Cause: serve gave the signals back to their default action when Serve returned, before the log was written and main had ended.

Change: the handler stays for as long as the process lives.

--- a/cmd/terntray/serve.go
+++ b/cmd/terntray/serve.go
@@ -48,9 +48,20 @@
 			service.Reload()
 		}
 	}()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return service.Serve(ctx)
+	return service.Serve(terminationContext())
+}
+
+// terminationContext returns a context that ends with the first signal to terminate. Later ones are ignored for as long as
+// the process lives: with their default action they would end it before its log is written, with another exit status.
+func terminationContext() context.Context {
+	ctx, end := context.WithCancel(context.Background())
+	terminations := make(chan os.Signal, 1)
+	signal.Notify(terminations, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-terminations
+		end()
+	}()
+	return ctx
 }
 
 // applyLimits sets the runtime's memory limit and GOMAXPROCS from the deployment's limits.
--- a/cmd/terntray/shutdown_test.go
+++ b/cmd/terntray/shutdown_test.go
@@ -40,3 +40,23 @@
 		t.Errorf("status %d", response.StatusCode)
 	}
 }
+
+// Guards against a shutdown that a later signal interrupts: the platform repeats SIGTERM, and sends SIGHUP for a new
+// configuration in between. The process ends as after one SIGTERM, with status 0.
+func TestSignalsInSeriesDoNotInterruptAShutdown(t *testing.T) {
+	replica := newReplica(t, "s-a", 0, succeed)
+	program, _ := startDeployment(t, settings, replica)
+	client := program.connect()
+	client.send(query("look", "q1", 10, 3))
+	program.cmd.Process.Signal(syscall.SIGTERM)
+	client.expect(map[int]string{3: value(replica, 3)})
+	for n := 0; ; n++ {
+		select {
+		case <-program.done:
+			program.expectExit(t)
+			return
+		case <-time.After(100 * time.Microsecond):
+			program.cmd.Process.Signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT}[n%3])
+		}
+	}
+}
