--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -22,6 +22,7 @@
 	result        *Result
 	requests      map[string]*request // by query
 	subqueries    map[string][]*arrival
+	reached       map[string]bool // queries of which an attempt reached a replica
 	notifications map[*coordinator][]notification
 }
 
@@ -37,7 +38,9 @@
 	}
 	for subquery, attempts := range checker.subqueries {
 		checker.checkAttempts(subquery, attempts)
+		checker.checkSentAgain(attempts)
 	}
+	checker.countKills()
 	checker.checkSlowStart()
 	checker.checkRetryBudget()
 	checker.countFaults()
@@ -52,11 +55,15 @@
 		result:        newResult(soak.seed),
 		requests:      map[string]*request{},
 		subqueries:    map[string][]*arrival{},
+		reached:       map[string]bool{},
 		notifications: map[*coordinator][]notification{},
 	}
 	for _, request := range soak.ledger.requests {
 		checker.requests[request.id] = request
 	}
+	for _, arrival := range soak.ledger.arrivals {
+		checker.reached[arrival.query] = true
+	}
 	for _, coordinator := range soak.coordinators {
 		checker.notifications[coordinator] = coordinator.notifications()
 	}
@@ -104,6 +111,17 @@
 	return f.from <= to && f.to+faultEffectTime >= from
 }
 
+// countKills counts the processes that were still running at SIGKILL after SIGTERM.
+func (c *checker) countKills() {
+	for _, coordinator := range c.coordinators {
+		for _, process := range coordinator.processes {
+			if process.terminatedAt > 0 && process.killedAt > 0 {
+				c.result.Counts[countKilledAfterTerm]++
+			}
+		}
+	}
+}
+
 // countFaults counts the faults of each kind, and the overlaps of each pair of kinds.
 func (c *checker) countFaults() {
 	faults := c.ledger.faults
--- a/internal/soak/check_answer.go
+++ b/internal/soak/check_answer.go
@@ -16,18 +16,30 @@
 	shareSlack = 0.0001
 )
 
-// mayGoUnanswered reports whether the process of a request was killed, or the request was sent too late after SIGTERM.
-func (r *request) mayGoUnanswered() bool {
-	if r.process.killedAt > 0 {
-		return true
+// mayGoUnanswered reports whether a request without an answer is not lost: its process was killed, or it was closed unread as
+// it came too late after SIGTERM. SIGKILL after SIGTERM finds no request unanswered whose time is over, and none that came
+// when the process was to take no more.
+func (c *checker) mayGoUnanswered(request *request) bool {
+	process := request.process
+	wasLate := process.terminatedAt > 0 && request.sentAt > process.terminatedAt+acceptsAfterSIGTERM
+	diedOpen := process.killedAt > 0 && request.closedAt >= process.killedAt
+	switch {
+	case len(request.answers) > 0:
+		return false
+	case process.terminatedAt == 0:
+		return process.killedAt > 0
+	case diedOpen && !wasLate:
+		slack := socketSlack + c.stoppedTime(request.coordinator.name, request.sentAt, process.killedAt) + measurementSlack
+		return request.sentAt+request.deadline+slack >= process.killedAt
+	case diedOpen:
+		return request.sentAt >= process.killedAt
 	}
-	terminated := r.process.terminatedAt
-	return terminated > 0 && r.sentAt > terminated+acceptsAfterSIGTERM
+	return wasLate && !c.reached[request.id]
 }
 
 // checkAnswer checks that a client that stays connected gets exactly one answer in time, and no bytes after it.
 func (c *checker) checkAnswer(request *request) {
-	if request.disconnectedAt > 0 || request.mayGoUnanswered() {
+	if request.disconnectedAt > 0 || c.mayGoUnanswered(request) {
 		return
 	}
 	end := request.sentAt + request.deadline
--- a/internal/soak/check_attempt.go
+++ b/internal/soak/check_attempt.go
@@ -10,6 +10,9 @@
 	// disconnectSlack is how long after its client's disconnect an attempt may begin, for the network delay of the
 	// close and of the frame.
 	disconnectSlack = 100 * time.Millisecond
+
+	// sentAgainSlack is how long after a replica's answer another attempt may begin, for the network delay of both.
+	sentAgainSlack = 100 * time.Millisecond
 )
 
 // checkTimeout checks that the timeout given to a replica is within the time that the query has left.
@@ -63,6 +66,30 @@
 	}
 }
 
+// checkSentAgain checks that no attempt begins after the co-ordinator has received an answer of a replica on a connection
+// that stays open: the subquery is over.
+func (c *checker) checkSentAgain(attempts []*arrival) {
+	name := c.requests[attempts[0].query].coordinator.name
+	for _, answered := range attempts {
+		if answered.answeredAt == 0 || answered.conn.faults.slowReplies {
+			continue
+		}
+		for _, later := range attempts {
+			if later.delayed || later.firstByteAt <= answered.answeredAt {
+				continue
+			}
+			c.countCheck(RuleSentAgain, name, answered.answeredAt, later.firstByteAt)
+			wasLost := answered.conn.endedAt > 0 && answered.conn.endedAt <= later.firstByteAt
+			after := later.firstByteAt - answered.answeredAt
+			slack := c.stoppedTime(name, answered.answeredAt, later.firstByteAt) + measurementSlack
+			if !wasLost && after > sentAgainSlack+slack {
+				c.violated(RuleSentAgain, later.query, "%s reached %s %v after %s had answered it",
+					later.subquery, later.replica.uid, after, answered.replica.uid)
+			}
+		}
+	}
+}
+
 // checkAttempts checks the number of attempts of a subquery, and that a non-idempotent subquery runs at most once, and
 // never if its query was rejected.
 func (c *checker) checkAttempts(subquery string, attempts []*arrival) {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -124,9 +124,11 @@
 }
 
 // recordClose records that a connection was closed without an answer. On a reused connection the co-ordinator may have
-// closed it before the request arrived: if no attempt of the request has reached a replica, it counts as not sent.
+// closed it before the request arrived: if no attempt of the request has reached a replica, it counts as not sent. A
+// connection that was open until SIGKILL followed SIGTERM was not closed by the co-ordinator.
 func (c *client) recordClose(request *request, closedAt time.Duration) exchangeResult {
-	notRead := request.reused && !c.soak.ledger.reachedReplica(request.id)
+	diedOpen := request.coordinator.diedOpen(request.process)
+	notRead := request.reused && !diedOpen && !c.soak.ledger.reachedReplica(request.id)
 	c.soak.ledger.update(func() {
 		request.closedAt = closedAt
 		if notRead {
--- a/internal/soak/coordinator.go
+++ b/internal/soak/coordinator.go
@@ -85,7 +85,7 @@
 		Name:      c.name,
 		Listen:    addr,
 		Discovery: c.agent().addr(),
-		Settings:  settingsJSON(c.soak.seed),
+		Settings:  settingsJSON(c.soak.seed, c.soak.classes),
 		Known:     known,
 		Sockets:   maxSockets,
 		Env:       []string{c.faultPage.EnvVar()},
@@ -151,6 +151,13 @@
 	return process.killedAt > 0
 }
 
+// diedOpen reports whether a process was killed after SIGTERM.
+func (c *coordinator) diedOpen(process *process) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return process.killedAt > 0 && process.terminatedAt > 0
+}
+
 // acceptingProcess returns the process to which clients may open connections, with its address, or nil.
 func (c *coordinator) acceptingProcess() (*process, string) {
 	c.mu.Lock()
@@ -193,7 +200,7 @@
 	process.program.Signal(syscall.SIGTERM)
 	select {
 	case <-process.program.Done():
-	case <-time.After(longestDeadline() + shutdownAllowance + slowWriteTime):
+	case <-time.After(c.soak.longestDeadline() + shutdownAllowance + slowWriteTime):
 		c.soak.violated(RuleShutdown, "", "%s is still running %v after SIGTERM",
 			c.name, c.soak.now()-process.terminatedAt)
 		process.program.Signal(syscall.SIGKILL)
@@ -203,7 +210,14 @@
 		c.mu.Unlock()
 	}
 	c.recordExit(process)
-	if state := process.program.State(); process.killedAt == 0 && !state.Success() {
+	if process.killedAt == 0 {
+		c.checkExit(process)
+	}
+}
+
+// checkExit checks that a process that ended by itself has exited with status 0.
+func (c *coordinator) checkExit(process *process) {
+	if state := process.program.State(); !state.Success() {
 		c.soak.violated(RuleCrash, "", "%s exited with %v: %s", c.name, state, lastLines(process.program.Log(), 20))
 	}
 }
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -49,16 +49,8 @@
 	{name: "some", effect: "pure", deadline: 1200 * time.Millisecond, minShare: 0.3, idempotent: true},
 }
 
-// longestDeadline returns the longest deadline of all classes.
-func longestDeadline() (longest time.Duration) {
-	for _, class := range classes {
-		longest = max(longest, class.deadline)
-	}
-	return longest
-}
-
-// settingsJSON returns the settings of the deployment.
-func settingsJSON(seed uint64) string {
+// settingsJSON returns the settings of the deployment with the given classes.
+func settingsJSON(seed uint64, classes []*class) string {
 	timeout := connectTimeout
 	if seed%2 == 1 {
 		timeout = longConnectTimeout
@@ -74,11 +66,11 @@
 		maxBatch, cells, shardCount,
 		drainGrace.Microseconds(), overloadMultiple, overloadWindow.Microseconds(), startCapacity,
 		warmAfter.Microseconds(), minBudget, budgetRatio, budgetWindow.Microseconds(),
-		classSettingsJSON())
+		classSettingsJSON(classes))
 }
 
 // classSettingsJSON returns the elements of the list of classes in the settings.
-func classSettingsJSON() string {
+func classSettingsJSON(classes []*class) string {
 	var all []string
 	for _, class := range classes {
 		objective := class.deadline / 2
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -90,7 +90,7 @@
 func (s *Soak) injectFaults(random *rand.Rand) {
 	for {
 		time.Sleep(drawDuration(random, 0, maxFaultPause))
-		if s.now() > s.end-longestDeadline() {
+		if s.now() > s.end-s.longestDeadline() {
 			return
 		}
 		fault := drawFault(random)
--- a/internal/soak/fault_process.go
+++ b/internal/soak/fault_process.go
@@ -58,7 +58,11 @@
 			defer coordinator.faultPage.SetWallClockOffset(0)
 			defer timer.Stop()
 		}
-		coordinator.terminate(drawDuration(random, 200*time.Millisecond, 400*time.Millisecond))
+		if soak.restarts {
+			coordinator.terminateAtEarliestTerms(random)
+		} else {
+			coordinator.terminate(drawDuration(random, 200*time.Millisecond, 400*time.Millisecond))
+		}
 		soak.restart(coordinator)
 	})
 }
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -20,6 +20,8 @@
 	timeout          time.Duration // how long the co-ordinator will wait, as stated in the frame
 	delayed          bool          // it may have been sent much earlier: the replica was not reading
 	ran              bool
+	conn             *replicaConn  // that carried it
+	answeredAt       time.Duration // when an OK was written in full; 0: none was
 	replicaStartedAt time.Duration // start of the replica's process
 
 	// warmUpAllowance is how many arrivals the settings allow in an overload window at the replica's age; 0: the
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -16,8 +16,8 @@
 func TestSeedsDrawTheSamePlan(t *testing.T) {
 	hash := fnv.New64a()
 	for seed := uint64(1); seed <= 20; seed++ {
-		soak := &Soak{seed: seed, ledger: newLedger()}
-		fmt.Fprintln(hash, settingsJSON(seed))
+		soak := &Soak{seed: seed, ledger: newLedger(), setting: newSetting(ScenarioFaults, seed)}
+		fmt.Fprintln(hash, settingsJSON(seed, classes))
 		writeRequests(hash, soak)
 		writeReplicaDraws(hash, soak)
 		writeFaults(hash, soak)
--- a/internal/soak/replica_conn.go
+++ b/internal/soak/replica_conn.go
@@ -40,6 +40,7 @@
 	replicaStartedAt time.Duration // start of the replica's process that accepted it
 	faults           connFaults
 	writing          sync.Mutex
+	endedAt          time.Duration // 0: it has not ended; guarded by the ledger's mutex
 }
 
 // accept accepts connections until the listener is closed.
@@ -114,7 +115,15 @@
 	}
 }
 
+// noteAnswered records that an OK was written.
+func (c *replicaConn) noteAnswered(attempt *arrival) {
+	now := c.replica.soak.now()
+	c.replica.soak.ledger.update(func() { attempt.answeredAt = now })
+}
+
 func (c *replicaConn) close() {
+	now := c.replica.soak.now()
+	c.replica.soak.ledger.update(func() { c.endedAt = now })
 	c.Close()
 	c.replica.mu.Lock()
 	defer c.replica.mu.Unlock()
@@ -144,6 +153,7 @@
 		attempt.query = query
 		attempt.subquery = call.id
 		attempt.replica = replica
+		attempt.conn = c
 		attempt.timeout = call.timeout
 		attempt.replicaStartedAt = c.replicaStartedAt
 		if c.replicaStartedAt >= 0 {
@@ -187,8 +197,10 @@
 		reset(c.Conn)
 	default:
 		value := fmt.Sprintf("v<%s.%s.%d>", replica.uid, attempt.subquery, replica.draw(1000))
+		value = replica.soak.padded(value, attempt.subquery)
 		replica.soak.ledger.addReplyValue(attempt.subquery, value)
 		c.reply(attempt.subquery, "OK", value)
+		c.noteAnswered(attempt)
 	}
 }
 
--- a/internal/soak/request.go
+++ b/internal/soak/request.go
@@ -15,14 +15,14 @@
 // newRequest creates a random request to be sent on a connection.
 func (c *client) newRequest(conn *clientConn) *request {
 	c.requestCount++
-	class := classes[c.random.IntN(len(classes))]
+	class := c.soak.classes[c.random.IntN(len(c.soak.classes))]
 	request := &request{
 		id:          fmt.Sprintf("%s-%d", c.name, c.requestCount),
 		class:       class,
 		coordinator: conn.coordinator,
 		process:     conn.process,
 		reused:      conn.requestCount > 0,
-		deadline:    c.drawDeadline(class),
+		deadline:    min(c.drawDeadline(class), class.deadline),
 	}
 	shards := c.random.Perm(shardCount)
 	request.shards = shards[:1+c.random.IntN(maxSubqueries)]
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -19,6 +19,7 @@
 	RuleDrain            Rule = "drain"        // a draining or removed replica gets no new attempts
 	RuleNonIdempotent    Rule = "effect"       // a non-idempotent subquery runs at most once, and never if rejected
 	RuleMultipleAttempts Rule = "repeat"
+	RuleSentAgain        Rule = "sent_again"  // a subquery is not sent again once a replica has answered it
 	RuleAttempts         Rule = "attempts"    // a subquery has at most maxAttempts attempts
 	RuleSlowStart        Rule = "slow_start"  // a replica that is warming up is not overloaded
 	RuleRetryBudget      Rule = "budget"      // attempts beyond the first stay within the retry budget
@@ -41,6 +42,7 @@
 	countRefused             = "refused"
 	countFailed              = "queries_failed"
 	countFramesNotChecked    = "frames_not_judged"
+	countKilledAfterTerm     = "killed_after_sigterm"    // processes that SIGKILL found running
 	countMaxSlowStartPercent = "slow_start_most_percent" // maximum load of a cold replica, in percent of the limit
 	countFaultPrefix         = "trouble_"                // followed by a FaultKind
 )
@@ -73,6 +75,14 @@
 	}
 }
 
+// Summary returns the main counts in a line.
+func (result *Result) Summary() string {
+	counts := result.Counts
+	return fmt.Sprintf("served %d, rejected %d, failed %d, restarts %d, killed after SIGTERM %d, sent beside an answer %d",
+		counts[countServed], counts[countRefused], counts[countFailed], counts[FaultKey(FaultTerminate)],
+		counts[countKilledAfterTerm], counts[string(RuleSentAgain)])
+}
+
 // FaultKey returns the key in Result.Counts of the number of faults of a kind.
 func FaultKey(kind FaultKind) string { return countFaultPrefix + string(kind) }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -22,6 +22,7 @@
 // Options configure a run.
 type Options struct {
 	Program      string        // path of the co-ordinator program, built by package faultbuild
+	Scenario     Scenario      // what the seed plays
 	Duration     time.Duration // how long clients send requests
 	FaultStreams int           // number of concurrent streams of faults
 	Without      []FaultKind   // kinds of fault that are not injected, to shrink a failure
@@ -48,6 +49,7 @@
 // Soak is a run of one seed.
 type Soak struct {
 	clock
+	setting
 	seed         uint64
 	options      Options
 	folder       string        // temporary, for the fault pages
@@ -63,6 +65,7 @@
 	mu           sync.Mutex
 	replicas     []*replica
 	replicaCount int // all replicas so far, for the names of new ones
+	clientCount  int // all steady clients so far, for the names of new ones
 	violations   []Violation
 }
 
@@ -76,6 +79,7 @@
 	defer os.RemoveAll(folder)
 	soak := &Soak{
 		clock:     clock{time.Now()},
+		setting:   newSetting(options.Scenario, seed),
 		seed:      seed,
 		options:   options,
 		folder:    folder,
@@ -142,9 +146,18 @@
 		random := s.randomFor(fmt.Sprint("trouble", n))
 		streams.Go(func() { s.injectFaults(random) })
 	}
+	if s.crowd {
+		streams.Go(s.keepCrowd)
+	}
+	if s.restarts {
+		for n := range restartStreams {
+			random := s.randomFor(fmt.Sprint("restarts", n))
+			streams.Go(func() { s.restartProcesses(random) })
+		}
+	}
 	streams.Wait()
 	clients.Wait()
-	time.Sleep(longestDeadline() + settleTime)
+	time.Sleep(s.longestDeadline() + settleTime)
 }
 
 // terminateAll checks the open descriptors of every co-ordinator and then terminates it, as a planned restart does.
--- a/proofs/soak/breaks.go
+++ b/proofs/soak/breaks.go
@@ -27,17 +27,25 @@
 	name    string // in -break and in the output
 	rule    soak.Rule
 	patches []faultbuild.Patch
+	restart bool // it shows in the scenario of planned restarts; else in that of all faults
+}
+
+func (deliberate *deliberateBreak) scenario() soak.Scenario {
+	if deliberate.restart {
+		return soak.ScenarioRestarts
+	}
+	return soak.ScenarioFaults
 }
 
 var deliberateBreaks = []deliberateBreak{
-	{"told_time", soak.RuleTimeout, []faultbuild.Patch{
+	{name: "told_time", rule: soak.RuleTimeout, patches: []faultbuild.Patch{
 		{
 			File: "internal/replicaproto/call.go",
 			Old:  "waitMS = (call.Deadline - now).Milliseconds()",
 			New:  "waitMS = (call.Deadline - now).Milliseconds() + 400",
 		},
 	}},
-	{"lost_answer", soak.RuleAnswer, []faultbuild.Patch{
+	{name: "lost_answer", rule: soak.RuleAnswer, patches: []faultbuild.Patch{
 		{
 			File: "server/response.go",
 			Old:  "	if !client.write(response.bytes) {\n",
@@ -47,7 +55,7 @@
 				"	if !client.write(response.bytes) {\n",
 		},
 	}},
-	{"late_answer", soak.RuleAnswer, []faultbuild.Patch{
+	{name: "late_answer", rule: soak.RuleAnswer, patches: []faultbuild.Patch{
 		{
 			File: "server/response.go",
 			Old:  "	if !client.write(response.bytes) {\n",
@@ -57,7 +65,7 @@
 				"	if !client.write(response.bytes) {\n",
 		},
 	}},
-	{"two_answers", soak.RuleAnswer, []faultbuild.Patch{
+	{name: "two_answers", rule: soak.RuleAnswer, patches: []faultbuild.Patch{
 		{
 			File: "server/response.go",
 			Old:  "	if !client.write(response.bytes) {\n",
@@ -67,7 +75,7 @@
 				"	if !client.write(response.bytes) {\n",
 		},
 	}},
-	{"client_gone", soak.RuleClientConnected, []faultbuild.Patch{
+	{name: "client_gone", rule: soak.RuleClientConnected, patches: []faultbuild.Patch{
 		{
 			File: "server/notify.go",
 			Old:  "	client.disconnected.Store(true)\n	if client.requestOpen {\n",
@@ -79,7 +87,7 @@
 			New:  "	if true {\n		return false\n	}\n",
 		},
 	}},
-	{"drain", soak.RuleDrain, []faultbuild.Patch{
+	{name: "drain", rule: soak.RuleDrain, patches: []faultbuild.Patch{
 		{
 			File: "coordinator/endpoints.go",
 			Old:  "	replica := c.replicas.EndpointOf(endpoint.UID)\n	replica.SetState(",
@@ -90,7 +98,7 @@
 				"	replica.SetState(",
 		},
 	}},
-	{"effect", soak.RuleNonIdempotent, []faultbuild.Patch{
+	{name: "effect", rule: soak.RuleNonIdempotent, patches: []faultbuild.Patch{
 		{
 			File: "scheduler/retry.go",
 			Old:  "(first == nil || class.effect == invariant.Idempotent ||",
@@ -102,35 +110,35 @@
 			New:  "	case true:\n",
 		},
 	}},
-	{"slow_start", soak.RuleSlowStart, []faultbuild.Patch{
+	{name: "slow_start", rule: soak.RuleSlowStart, patches: []faultbuild.Patch{
 		{
 			File: "scheduler/slowstart.go",
 			Old:  "	if !s.warmingUp(replica, now) {\n		return true\n",
 			New:  "	if true {\n		return true\n",
 		},
 	}},
-	{"honest", soak.RuleAnswerContent, []faultbuild.Patch{
+	{name: "honest", rule: soak.RuleAnswerContent, patches: []faultbuild.Patch{
 		{
 			File: "coordinator/answer.go",
 			Old:  "Payload: string(subquery.value)}",
 			New:  "Payload: string(subquery.value) + \"x\"}",
 		},
 	}},
-	{"budget", soak.RuleRetryBudget, []faultbuild.Patch{
+	{name: "budget", rule: soak.RuleRetryBudget, patches: []faultbuild.Patch{
 		{
 			File: "scheduler/retry.go",
 			Old:  "	return b.parameters.retryBudgetSpan == 0 || float64",
 			New:  "	return true || float64",
 		},
 	}},
-	{"shutdown", soak.RuleShutdown, []faultbuild.Patch{
+	{name: "shutdown", rule: soak.RuleShutdown, patches: []faultbuild.Patch{
 		{
 			File: "coordinator/shutdown.go",
 			Old:  "return c.clientsClosed && len(c.queries) == 0 }",
 			New:  "return c.clientsClosed && len(c.queries) == 0 && c.counts.Attempts%2 == 0 }",
 		},
 	}},
-	{"wall_clock", soak.RuleShutdown, []faultbuild.Patch{ // the limit loses its monotonic clock reading
+	{name: "wall_clock", rule: soak.RuleShutdown, patches: []faultbuild.Patch{ // the limit loses its monotonic clock reading
 		{
 			File: "server/shutdown.go",
 			Old: "func (client *ClientConn) shutdownReadDeadline(start time.Time) time.Time {\n" +
@@ -141,4 +149,28 @@
 				"	limit := processStart.Round(0).Add(start.Sub(processStart)).Add(shutdownAcceptTime)\n",
 		},
 	}},
+	{name: "sent_again", rule: soak.RuleSentAgain, restart: true, patches: []faultbuild.Patch{
+		{
+			File: "scheduler/results.go",
+			Old:  "	if replied == nil || replied.replied {\n",
+			New:  "	if replied == nil || !replied.replied {\n",
+		},
+	}},
+	{name: "open_at_kill", rule: soak.RuleAnswer, restart: true, patches: []faultbuild.Patch{
+		{
+			File: "coordinator/arrival.go",
+			Old:  "c.server.AnswerBy(); limited {",
+			New:  "c.server.AnswerBy(); limited && false {",
+		},
+		{
+			File: "server/response.go",
+			Old:  "client.closeAfterResponse.Load() || client.server.isShuttingDown() || mustClose",
+			New:  "client.closeAfterResponse.Load() || mustClose",
+		},
+		{
+			File: "server/reading.go",
+			Old:  "	case shutdownStart != nil && !awaitsRequest:\n		return pastDeadline\n",
+			New:  "	case shutdownStart != nil && !awaitsRequest:\n		return client.waitingSince.Add(idleTimeout)\n",
+		},
+	}},
 }
--- a/proofs/soak/main.go
+++ b/proofs/soak/main.go
@@ -41,6 +41,7 @@
 type flags struct {
 	firstSeed    uint64
 	seeds        int
+	restartSeeds int
 	duration     time.Duration
 	faultStreams int
 	without      []soak.FaultKind
@@ -56,7 +57,8 @@
 func parseFlags() *flags {
 	flags := &flags{}
 	flag.Uint64Var(&flags.firstSeed, "first", 1, "first seed")
-	flag.IntVar(&flags.seeds, "seeds", 2, "number of seeds, run one after the other")
+	flag.IntVar(&flags.seeds, "seeds", 2, "number of seeds of all faults, run one after the other")
+	flag.IntVar(&flags.restartSeeds, "restarts", 3, "number of seeds of planned restarts by the page's terms")
 	flag.DurationVar(&flags.duration, "lasts", 9*time.Second, "how long clients send queries in each run")
 	flag.IntVar(&flags.faultStreams, "beside", 5, "number of fault streams that run in parallel")
 	without := flag.String("without", "", "comma-separated kinds of fault to leave out")
--- a/proofs/soak/proof.go
+++ b/proofs/soak/proof.go
@@ -50,6 +50,7 @@
 func (p *proof) options(program string) soak.Options {
 	return soak.Options{
 		Program:      program,
+		Scenario:     soak.ScenarioFaults,
 		Duration:     p.duration,
 		FaultStreams: p.faultStreams,
 		Without:      p.without,
@@ -71,30 +72,43 @@
 		return false
 	}
 	defer os.RemoveAll(filepath.Dir(program))
-	for n := range p.seeds {
+	completed := p.runScenario(program, soak.ScenarioFaults, p.seeds) &&
+		p.runScenario(program, soak.ScenarioRestarts, p.restartSeeds)
+	return completed && p.seedsFailed == 0
+}
+
+// runScenario runs seeds of a scenario and prints a line for each. It reports whether all could be run.
+func (p *proof) runScenario(program string, scenario soak.Scenario, seeds int) bool {
+	options := p.options(program)
+	options.Scenario = scenario
+	for n := range seeds {
 		seed := p.firstSeed + uint64(n)
-		result, err := soak.Run(seed, p.options(program))
+		result, err := soak.Run(seed, options)
 		if err != nil {
-			fmt.Printf("seed %d: run failed: %v\n", seed, err)
+			fmt.Printf("seed %d %s: run failed: %v\n", seed, scenario, err)
 			return false
 		}
 		p.seedsRun++
 		p.total.add(result)
+		fmt.Printf("seed %d %s: %d violations, %s\n", seed, scenario, len(result.Violations), result.Summary())
 		if len(result.Violations) > 0 {
 			p.seedsFailed++
-			p.printViolations(result)
+			p.printViolations(result, scenario)
 			if p.shrink {
-				p.shrinkFaults(program, result)
+				p.shrinkFaults(options, result)
 			}
 		}
 	}
-	return p.seedsFailed == 0
+	return true
 }
 
-func (p *proof) printViolations(result *soak.Result) {
-	fmt.Printf(
-		"seed %d: %d violations; rerun: go run ./proofs/soak -first %d -seeds 1 -lasts %v -beside %d -without %q\n",
-		result.Seed, len(result.Violations), result.Seed, p.duration, p.faultStreams, formatKinds(p.without))
+func (p *proof) printViolations(result *soak.Result, scenario soak.Scenario) {
+	counts := "-seeds 1 -restarts 0"
+	if scenario == soak.ScenarioRestarts {
+		counts = "-seeds 0 -restarts 1"
+	}
+	fmt.Printf("rerun: go run ./proofs/soak -first %d %s -lasts %v -beside %d -without %q\n",
+		result.Seed, counts, p.duration, p.faultStreams, formatKinds(p.without))
 	for _, violation := range result.Violations[:min(len(result.Violations), maxPrinted)] {
 		fmt.Println("  ", violation)
 	}
@@ -102,9 +116,8 @@
 
 // shrinkFaults leaves out one kind of fault after another as long as the seed still violates the same rule, and prints
 // the kinds that are not needed.
-func (p *proof) shrinkFaults(program string, failed *soak.Result) {
+func (p *proof) shrinkFaults(options soak.Options, failed *soak.Result) {
 	rule := failed.Violations[0].Rule
-	options := p.options(program)
 	for _, kind := range soak.FaultKinds() {
 		reduced := options
 		reduced.Without = append(slices.Clone(options.Without), kind)
@@ -149,7 +162,9 @@
 	}
 	defer os.RemoveAll(filepath.Dir(program))
 	for n := range p.seeds {
-		result, err := soak.Run(p.firstSeed+uint64(n), p.options(program))
+		options := p.options(program)
+		options.Scenario = deliberate.scenario()
+		result, err := soak.Run(p.firstSeed+uint64(n), options)
 		if err != nil {
 			fmt.Println(deliberate.name, err)
 			continue
