Save the traces of the proof values on request

The proof gives figures, and what became of one query could not be seen. -logs FOLDER starts the programs with -trace and saves their logs.

--- a/internal/valuetrial/trial.go
+++ b/internal/valuetrial/trial.go
@@ -51,6 +51,7 @@
 type Options struct {
 	Path string   // of the program
 	Env  []string // additional environment of the program
+	Args []string // additional arguments of serve
 
 	Class   Class
 	HTTP2   bool // the replicas' protocol; false: frames
@@ -157,7 +158,7 @@
 	}
 	fleet.program, err = fake.Start(fake.Options{
 		Path: options.Path, Env: options.Env, Settings: settings, Discovery: discovery.Listener.Addr().String(),
-		Known: fake.EndpointList(1, true, fleet.replicas), Args: []string{"-installation", file},
+		Known: fake.EndpointList(1, true, fleet.replicas), Args: append([]string{"-installation", file}, options.Args...),
 	})
 	return err
 }
--- a/proofs/values/main.go
+++ b/proofs/values/main.go
@@ -6,6 +6,7 @@
 import (
 	"flag"
 	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
 	"time"
@@ -62,13 +63,14 @@
 	compare := flag.String("compare", "", "other builds to measure, as paths separated by commas")
 	only := flag.String("only", "", "part of the names of the variants to run; empty: all")
 	parallel := flag.Int("beside", 4, "maximum number of trials that run in parallel")
+	logs := flag.String("logs", "", "folder for the programs' traces; empty: none")
 	flag.Parse()
 	programs := []string{*program}
 	if *compare != "" {
 		programs = append(programs, strings.Split(*compare, ",")...)
 	}
 	rows := newRows(programs, *only)
-	proof.Parallel(len(rows), *parallel, func(index int) { rows[index].run() })
+	proof.Parallel(len(rows), *parallel, func(index int) { rows[index].run(*logs) })
 	printTable(rows)
 	exit(rows, *program)
 }
@@ -100,21 +102,34 @@
 	return rows
 }
 
-// run runs the trials of the row and adds up their results.
-func (row *row) run() {
+// run runs the trials of the row and adds up their results. It saves their traces in a folder, unless that is empty.
+func (row *row) run(logs string) {
 	for trial := range row.load.trials {
-		result, err := valuetrial.Run(valuetrial.Options{
+		options := valuetrial.Options{
 			Path: row.program, Class: row.variant.class, HTTP2: row.variant.http2, Sizes: row.sizes,
 			Spoilt: row.load.spoilt, Queries: row.load.queries, Rate: rate, Seed: seed + uint64(trial),
-		})
+		}
+		if logs != "" {
+			options.Args = []string{"-trace"}
+		}
+		result, err := valuetrial.Run(options)
 		if err != nil {
 			row.err = err
 			return
 		}
 		row.result.Add(result)
+		if logs != "" {
+			row.err = row.saveLog(logs, trial, result.Log)
+		}
 	}
 }
 
+func (row *row) saveLog(folder string, trial int, log string) error {
+	name := fmt.Sprintf("%s, %s, %d sizes, %s, %d.log",
+		row.variant.name, row.load.name, row.sizes, filepath.Base(row.program), trial)
+	return os.WriteFile(filepath.Join(folder, strings.ReplaceAll(name, "/", "")), []byte(log), 0o600)
+}
+
 func printTable(rows []*row) {
 	fmt.Println("| replicas and class | load | sizes | build | median | p99 | served | rejected | failed | wrong | " +
 		"sent again | ejected | attempts | connections |")
