Do not blame a replica whose reply is still withheld at the deadline

Where attempts may not be cancelled, an attempt whose reply was withheld until its query's deadline ended as timed out: an error of a replica that had replied in time, three of which in a row eject it.

Change: such an attempt is cancelled at the deadline, which has no effect on its replica.

Result: TestAttemptWithAWithheldReplyDoesNotTimeOut fails before (outcome timed_out) and holds 3 of 3 times.

--- a/coordinator/attempt.go
+++ b/coordinator/attempt.go
@@ -144,7 +144,7 @@
 }
 
 // replyUnconfirmed handles a reply to an attempt that is withheld until its length is confirmed. The attempt no longer times
-// out before its query does, as its replica is done with it.
+// out, as its replica is done with it; it is cancelled if the reply is still withheld at its query's deadline.
 func (c *Coordinator) replyUnconfirmed(attempt *attemptState, reply *replicaproto.Event, readAt time.Duration) {
 	if attempt.ended {
 		return
@@ -163,8 +163,8 @@
 	})
 	c.loop.Cancel(attempt.timeoutTimer)
 	attempt.deadline = attempt.subquery.query.deadline
-	timedOut := func() { c.abandonAttempt(attempt, scheduler.TimedOut) }
-	attempt.timeoutTimer = c.loop.After(attempt.deadline-c.loop.Now(), "", timedOut)
+	queryEnds := func() { c.abandonAttempt(attempt, scheduler.Cancelled) }
+	attempt.timeoutTimer = c.loop.After(attempt.deadline-c.loop.Now(), "", queryEnds)
 }
 
 // reportLoad notifies the scheduler of the load report in a reply, if there is one.
--- a/coordinator/attempt_test.go
+++ b/coordinator/attempt_test.go
@@ -8,6 +8,7 @@
 	"terntray/connpool"
 	"terntray/internal/replicaproto"
 	"terntray/replicaconn"
+	"terntray/scheduler"
 )
 
 // A query closes while one of its attempts is being written, and then the attempt's connection breaks. The attempt
@@ -77,6 +78,30 @@
 	}
 }
 
+// A reply is still withheld at the deadline of its query, and attempts may not be cancelled. The replica is not at fault: it has
+// replied in time, so the attempt does not count as timed out there.
+func TestAttemptWithAWithheldReplyDoesNotTimeOut(t *testing.T) {
+	const timeout = 400 * time.Millisecond
+	c := newCoordinatorWith(t, map[string]string{"bounds.mayCancel": "false"})
+	c.receive(c.newClient(), newQuery("q", timeout, 0), 0)
+	attempt := c.queriesByRequestID["q"].subqueries[0].attempts[0]
+	c.loop.Receive() // drop the failed connect
+	c.markConnsUp(t, 1)
+	attempt.call.Stage = replicaproto.Written
+	unconfirmed := replicaproto.Event{Kind: replicaproto.Unconfirmed, SubqueryID: attempt.call.SubqueryID, CPUUsage: -1}
+	input := replicaconn.Input{Events: []replicaproto.Event{unconfirmed}, At: c.loop.Now()}
+	c.runIteration(func() { c.replicas.Received(1, input) })
+	for end := time.Now().Add(20 * time.Second); !attempt.ended && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+		c.runPosted()
+	}
+	c.runPosted()
+	if !attempt.ended || attempt.outcome != scheduler.Cancelled || c.counts.UnconfirmedReplies != 1 {
+		t.Errorf("ended %t with outcome %s, %d unconfirmed replies",
+			attempt.ended, outcomeKeys[attempt.outcome], c.counts.UnconfirmedReplies)
+	}
+}
+
 // markConnsUp checks the number of connections and marks all of them as up. Their ids count from 1.
 func (c *Coordinator) markConnsUp(t *testing.T, conns int) {
 	t.Helper()
