--- a/internal/replicaproto/http2/frames_in.go
+++ b/internal/replicaproto/http2/frames_in.go
@@ -24,11 +24,11 @@
 	input      wire.Buffer
 	frameInput bytes.Reader // the frame that is being read
 	decoder    *hpack.Decoder
-	headers    headerList              // the header list that is being received
-	events     []replicaproto.Event    // that Next has not returned yet
-	withheld   *withheldReply          // it follows these events once its length is confirmed
-	lastValue  *valuecheck.Observation // of the last confirmed reply, until another frame follows it
-	idleFrames int                     // consecutive frames without progress
+	headers    headerList           // the header list that is being received
+	events     []replicaproto.Event // that Next has not returned yet
+	withheld   *withheldReply       // it follows these events once its length is confirmed
+	lastValue  *valuecheck.Withheld // of the last confirmed reply, until another frame follows it
+	idleFrames int                  // consecutive frames without progress
 }
 
 // Next returns the next event.
--- a/internal/replicaproto/http2/response.go
+++ b/internal/replicaproto/http2/response.go
@@ -210,7 +210,7 @@
 	session.removeStream(stream)
 	reply := replyEvent(stream)
 	if reply.Status == replicaproto.OK && endedByData && stream.contentLength < 0 {
-		session.withhold(stream.id, &reply)
+		session.withhold(reply)
 	} else {
 		session.emit(reply)
 	}
--- a/internal/replicaproto/http2/withheld.go
+++ b/internal/replicaproto/http2/withheld.go
@@ -16,20 +16,14 @@
 // A ping is sent behind its receipt: the replica answers pings in order, behind all bytes of the frame that carries the
 // reply. So the answer follows a sound reply within a round trip, and the rest of a value that was cut short comes first.
 type withheldReply struct {
-	event     replicaproto.Event
-	value     valuecheck.Observation
-	content   valuecheck.Content
-	judgement valuecheck.Judgement // the last one
-	released  bool                 // it may be emitted although nothing follows it
+	event replicaproto.Event
+	value *valuecheck.Withheld
 }
 
 // withhold withholds a reply until confirmReply emits it.
-func (session *Session) withhold(stream uint32, reply *replicaproto.Event) {
-	session.withheld = &withheldReply{
-		event:   *reply,
-		value:   session.values.Observe(reply.Value),
-		content: session.findFrames(reply.Value),
-	}
+func (session *Session) withhold(reply replicaproto.Event) {
+	value := session.values.Withhold(reply.Value, session.findFrames(reply.Value))
+	session.withheld = &withheldReply{event: reply, value: value}
 }
 
 // confirmReply emits the withheld reply if its value is judged to be complete, the start of another frame follows it, or
@@ -37,26 +31,34 @@
 // bytes follow that are not a frame.
 func (session *Session) confirmReply() (confirmed bool, err error) {
 	withheld := session.withheld
-	withheld.judgement = session.values.Judge(withheld.value, withheld.content)
-	verdict := withheld.judgement.Verdict
-	hasFollower, err := session.checkFollower(session.input.Bytes())
-	switch {
-	case verdict == valuecheck.Malformed:
-		return false, fmt.Errorf("%w: a value contains other frames", http2.ConnectionError(http2.ErrCodeProtocol))
-	case verdict == valuecheck.Complete:
-	case err != nil:
-		return false, err
-	case verdict == valuecheck.Uncertain && !hasFollower && !withheld.released:
+	follower, err := session.followerOf(session.input.Bytes())
+	switch decision := withheld.value.Decide(follower); {
+	case decision == valuecheck.Wait:
 		session.pingToConfirm()
 		return false, nil
+	case decision == valuecheck.Reject && follower == valuecheck.FollowedByOther:
+		return false, err
+	case decision == valuecheck.Reject:
+		return false, fmt.Errorf("%w: a value contains other frames", http2.ConnectionError(http2.ErrCodeProtocol))
 	}
-	session.values.Accept(withheld.value)
 	session.emit(withheld.event)
-	session.lastValue = &withheld.value
+	session.lastValue = withheld.value
 	session.withheld = nil
 	return true, nil
 }
 
+// followerOf says what the bytes behind a frame are, with the error of those that are no frame.
+func (session *Session) followerOf(input []byte) (valuecheck.Follower, error) {
+	isFrame, err := session.checkFollower(input)
+	switch {
+	case err != nil:
+		return valuecheck.FollowedByOther, err
+	case isFrame:
+		return valuecheck.FollowedByMessage, nil
+	}
+	return valuecheck.FollowerUnknown, nil
+}
+
 // pingToConfirm sends a ping unless the answer to an earlier one is still to come: that follows the reply as well.
 func (session *Session) pingToConfirm() {
 	if session.pingsAnswered == session.pingsSent {
@@ -69,24 +71,23 @@
 	if session.withheld == nil {
 		return replicaproto.WithheldReply{}, false
 	}
-	return replicaproto.NewWithheldReply(session.withheld.event, session.withheld.judgement), true
+	return replicaproto.NewWithheldReply(session.withheld.event, session.withheld.value.Judgement()), true
 }
 
 // ReleaseReply lets Next return the withheld reply.
 func (session *Session) ReleaseReply() {
 	if session.withheld != nil {
-		session.withheld.released = true
+		session.withheld.value.Release()
 	}
 }
 
 // noteMalformed notes that the connection's input is malformed, and takes back the value before it: its length was
 // probably wrong.
 func (session *Session) noteMalformed() {
-	switch {
-	case session.withheld != nil:
-		session.values.Retract(session.withheld.value, false)
-	case session.lastValue != nil:
-		session.values.Retract(*session.lastValue, true)
+	if session.withheld != nil {
+		session.withheld.value.Retract()
+	} else {
+		session.lastValue.Retract()
 	}
 	session.withheld = nil
 	session.lastValue = nil
--- a/internal/wire/replies.go
+++ b/internal/wire/replies.go
@@ -49,16 +49,14 @@
 	Sent   SentIDs             // subqueries of this connection; may be nil
 
 	withheld *withheldReply
-	last     *valuecheck.Observation // of the last value returned, until the start of a frame follows it
+	last     *valuecheck.Withheld // value of the last reply returned, until the start of a frame follows it
 }
 
 // withheldReply is a reply that was parsed, but not returned yet.
 type withheldReply struct {
-	reply     *Reply
-	value     valuecheck.Observation
-	content   valuecheck.Content
-	judgement valuecheck.Judgement // the last one
-	released  bool                 // it may be returned although nothing follows it
+	reply   *Reply
+	content valuecheck.Content
+	value   *valuecheck.Withheld // nil: the status is not OK, so there is no value of which a part could be missing
 }
 
 // Next returns the next reply, or nil without an error if more bytes are needed. After an error the connection cannot
@@ -88,7 +86,7 @@
 func (reader *ReplyReader) withhold(reply *Reply) {
 	withheld := &withheldReply{reply: reply, content: findFrames(reply.Value, reader.Sent)}
 	if reply.Status == ReplyOK {
-		withheld.value = reader.Values.Observe(reply.Value)
+		withheld.value = reader.Values.Withhold(reply.Value, withheld.content)
 	}
 	reader.withheld = withheld
 }
@@ -98,58 +96,63 @@
 	if reader.withheld == nil {
 		return nil, valuecheck.Judgement{}
 	}
-	return reader.withheld.reply, reader.withheld.judgement
+	return reader.withheld.reply, reader.withheld.value.Judgement()
 }
 
 // Release lets Next return the withheld reply, as nothing has followed it for long enough.
 func (reader *ReplyReader) Release() {
 	if reader.withheld != nil {
-		reader.withheld.released = true
+		reader.withheld.value.Release()
 	}
 }
 
 // confirm returns the withheld reply once its length is known to fit, and nil without an error until then.
 func (reader *ReplyReader) confirm() (*Reply, error) {
 	withheld := reader.withheld
-	withheld.judgement = reader.judge(withheld)
-	verdict := withheld.judgement.Verdict
-	following, err := parseFrameHeader(reader.Bytes())
-	switch {
-	case verdict == valuecheck.Malformed:
-		return nil, malformed("reply with a value of %d bytes that contains other frames", len(withheld.reply.Value))
-	case verdict == valuecheck.Complete:
-	case err != nil:
+	follower := followerOf(reader.Bytes())
+	switch decision := withheld.decide(follower); {
+	case decision == valuecheck.Wait:
+		return nil, nil
+	case decision == valuecheck.Reject && follower == valuecheck.FollowedByOther:
 		return nil, malformed("reply with a value of %d bytes followed by bytes that are not a frame",
 			len(withheld.reply.Value))
-	case verdict == valuecheck.Uncertain && !following.complete && !withheld.released:
-		return nil, nil
+	case decision == valuecheck.Reject:
+		return nil, malformed("reply with a value of %d bytes that contains other frames", len(withheld.reply.Value))
 	}
 	reader.withheld = nil
-	if withheld.reply.Status == ReplyOK {
-		reader.Values.Accept(withheld.value)
-		reader.last = &withheld.value
-	}
+	reader.last = withheld.value
 	return withheld.reply, nil
 }
 
-// judge judges a reply. Only an OK reply has a value of which a part could be missing.
-func (reader *ReplyReader) judge(withheld *withheldReply) valuecheck.Judgement {
+// followerOf says what the bytes behind a frame are.
+func followerOf(buffered []byte) valuecheck.Follower {
+	header, err := parseFrameHeader(buffered)
 	switch {
-	case withheld.reply.Status == ReplyOK:
-		return reader.Values.Judge(withheld.value, withheld.content)
-	case withheld.content == valuecheck.ContainsMessages:
-		return valuecheck.Judgement{Verdict: valuecheck.Malformed}
+	case err != nil:
+		return valuecheck.FollowedByOther
+	case header.complete:
+		return valuecheck.FollowedByMessage
 	}
-	return valuecheck.Judgement{Verdict: valuecheck.Plausible}
+	return valuecheck.FollowerUnknown
+}
+
+// decide decides what becomes of the reply, given what follows it. One without a value is never withheld.
+func (withheld *withheldReply) decide(follower valuecheck.Follower) valuecheck.Decision {
+	switch {
+	case withheld.value != nil:
+		return withheld.value.Decide(follower)
+	case withheld.content == valuecheck.ContainsMessages, follower == valuecheck.FollowedByOther:
+		return valuecheck.Reject
+	}
+	return valuecheck.Serve
 }
 
 // retract takes back the value that precedes malformed bytes: its length was probably wrong.
 func (reader *ReplyReader) retract() {
-	switch {
-	case reader.withheld != nil && reader.withheld.reply.Status == ReplyOK:
-		reader.Values.Retract(reader.withheld.value, false)
-	case reader.withheld == nil && reader.last != nil:
-		reader.Values.Retract(*reader.last, true)
+	if reader.withheld != nil {
+		reader.withheld.value.Retract()
+	} else {
+		reader.last.Retract()
 	}
 	reader.withheld = nil
 	reader.last = nil
--- a/internal/wire/replies_test.go
+++ b/internal/wire/replies_test.go
@@ -248,7 +248,7 @@
 	return func() *valuecheck.History {
 		history := &valuecheck.History{}
 		for _, value := range slices.Concat(groups...) {
-			history.Accept(history.Observe([]byte(value)))
+			history.Withhold([]byte(value), valuecheck.NoMessage).Decide(valuecheck.FollowedByMessage)
 		}
 		return history
 	}
--- a/proofs/values/main.go
+++ b/proofs/values/main.go
@@ -144,7 +144,8 @@
 	}
 }
 
-// exit prints the closing line and exits. Spoilt replies may eject replicas.
+// exit prints the closing line and exits. Spoilt replies may eject replicas, and one behind a sound reply that is withheld
+// spoils that as well, so that its subquery is sent again.
 func exit(rows []*row, program string) {
 	var errs []error
 	served, wrong, sentAgain, ejected := 0, 0, 0, 0
@@ -157,8 +158,8 @@
 		}
 		served += len(row.result.Latencies)
 		wrong += row.result.Wrong
-		sentAgain += row.result.SentAgain
 		if row.load.spoilt == 0 {
+			sentAgain += row.result.SentAgain
 			ejected += row.result.Ejected
 		}
 	}
--- a/replicaconn/reader.go
+++ b/replicaconn/reader.go
@@ -70,16 +70,9 @@
 	reader.stream.SetReadDeadline(reader.readyDeadline)
 	reader.hasReadDeadline = reader.awaitsReady()
 	for {
-		input := reader.read()
-		if reader.judgementDue(input) {
-			input = reader.judgeAgain()
-		} else if reader.confirmationDue(input) {
-			if reader.recheck() {
-				continue
-			}
-			input = reader.release(nil)
-		} else if errors.Is(input.err, io.EOF) && reader.withheld.exists() {
-			input = reader.release(input.err)
+		input, complete := reader.nextInput()
+		if !complete {
+			continue
 		}
 		reader.checkMessageDeadline(&input)
 		if reader.timedOut(input) {
@@ -106,6 +99,23 @@
 	}
 }
 
+// nextInput reads once, and does what is due for the withheld reply then. It returns false if one more read has to follow.
+func (reader *reader) nextInput() (input Input, complete bool) {
+	input = reader.read()
+	switch {
+	case reader.judgementDue(input):
+		return reader.judgeAgain(), true
+	case reader.confirmationDue(input):
+		if reader.recheck() {
+			return input, false
+		}
+		return reader.release(nil), true
+	case errors.Is(input.err, io.EOF) && reader.withheld.exists():
+		return reader.release(input.err), true
+	}
+	return input, true
+}
+
 func (reader *reader) awaitsReady() bool { return !reader.readyDeadline.IsZero() }
 
 // read reads once and passes the input to the session.
--- a/valuecheck/valuecheck.go
+++ b/valuecheck/valuecheck.go
@@ -2,8 +2,8 @@
 // too small cuts the value, and one that is too large adds the next reply to it. Three kinds of evidence tell a complete
 // value from such a one: its content, the sizes of the values before it, and what follows it on its connection.
 //
-// The package has no I/O, clock or goroutine. Sessions of connections report each value to a History that they share and
-// ask it for a Judgement; the protocol of a connection finds messages in a value and compares what follows it.
+// The package has no I/O, clock or goroutine. Sessions of connections pass each value to a History that they share and ask the
+// Withheld value for a Decision; the protocol of a connection finds messages in a value and says what follows it.
 package valuecheck
 
 import (
@@ -59,32 +59,32 @@
 	trust     trust
 }
 
-// Observation identifies an observed value by what its History counts of it.
-type Observation struct {
+// observation identifies an observed value by what its History counts of it.
+type observation struct {
 	isJSON bool // an object or array
 	size   int  // in bytes; of a JSON object or array, that of the white space behind it
 }
 
-// Observe counts a value that was received. Accept or Retract has to follow, unless the connection ends before.
-func (history *History) Observe(value []byte) Observation {
-	observed := Observation{size: len(value)}
+// observe counts a value that was received. accept or retract has to follow, unless the connection ends before.
+func (history *History) observe(value []byte) observation {
+	observed := observation{size: len(value)}
 	if tail, isJSON := jsonTail(value); isJSON {
-		observed = Observation{isJSON: true, size: tail}
+		observed = observation{isJSON: true, size: tail}
 	}
 	history.update(func() { history.counts(observed).observe(observed.size) })
 	return observed
 }
 
-// Accept counts an observed value that is served.
-func (history *History) Accept(observed Observation) {
+// accept counts an observed value that is served.
+func (history *History) accept(observed observation) {
 	history.update(func() {
 		history.counts(observed).accept(observed.size)
 		history.trust.valueAccepted()
 	})
 }
 
-// Retract takes back an observed value that proved to be malformed, before or after it was accepted.
-func (history *History) Retract(observed Observation, wasAccepted bool) {
+// retract takes back an observed value that proved to be malformed, before or after it was accepted.
+func (history *History) retract(observed observation, wasAccepted bool) {
 	history.update(func() { history.counts(observed).retract(observed.size, wasAccepted) })
 }
 
@@ -104,21 +104,21 @@
 }
 
 // counts returns the counts that concern a value.
-func (history *History) counts(observed Observation) *sizeCounts {
+func (history *History) counts(observed observation) *sizeCounts {
 	if observed.isJSON {
 		return &history.jsonTails
 	}
 	return &history.sizes
 }
 
-// Judge judges an observed value by its content and by the values before it.
-func (history *History) Judge(observed Observation, content Content) (judgement Judgement) {
+// judge judges an observed value by its content and by the values before it.
+func (history *History) judge(observed observation, content Content) (judgement Judgement) {
 	if content == ContainsMessages {
 		return Judgement{Verdict: Malformed}
 	}
 	judgement = Judgement{Verdict: Uncertain, Wait: ConfirmationWait}
 	history.update(func() {
-		judgement = judge(history.counts(observed), &history.trust, observed.size, content)
+		judgement = judgeSize(history.counts(observed), &history.trust, observed.size, content)
 	})
 	if observed.isJSON && judgement.Verdict == Complete {
 		judgement.Verdict = Plausible // several texts in a row may be cut between two
@@ -126,11 +126,11 @@
 	return judgement
 }
 
-// judge judges a value by the counts of sizes.
+// judgeSize judges a value by the counts of sizes.
 //
 // A length that is too small would have made a value of the largest size shorter. A value of a smaller size may be the
 // start of a larger one: that this size was received often says that it exists, and trust that wrong lengths are rare.
-func judge(counts *sizeCounts, trust *trust, size int, content Content) Judgement {
+func judgeSize(counts *sizeCounts, trust *trust, size int, content Content) Judgement {
 	withheld := Judgement{Verdict: Uncertain, Wait: ConfirmationWait, MayChange: trust.isLearning()}
 	mayEndInMessage := content == MayEndInMessage && counts.others(size) > 0
 	switch {
--- a/valuecheck/valuecheck_test.go
+++ b/valuecheck/valuecheck_test.go
@@ -14,7 +14,7 @@
 	history := &History{}
 	for _, group := range groups {
 		for range group.count {
-			history.Accept(history.Observe(valueOf(group.size)))
+			history.accept(history.observe(valueOf(group.size)))
 		}
 	}
 	return history
@@ -36,8 +36,8 @@
 	}
 	afterFault := fault(twoSizes(100))
 	for range minAfterFault / 2 {
-		afterFault.Accept(afterFault.Observe(valueOf(40)))
-		afterFault.Accept(afterFault.Observe(valueOf(16)))
+		afterFault.accept(afterFault.observe(valueOf(40)))
+		afterFault.accept(afterFault.observe(valueOf(16)))
 	}
 	for _, test := range []struct {
 		name    string
@@ -65,7 +65,7 @@
 		{"various sizes", historyOf(various...), NoMessage, Uncertain, routineWait},
 		{"various sizes, after a fault", fault(historyOf(various...)), NoMessage, Uncertain, ConfirmationWait},
 	} {
-		judgement := test.history.Judge(test.history.Observe(valueOf(16)), test.content)
+		judgement := test.history.judge(test.history.observe(valueOf(16)), test.content)
 		if judgement.Verdict != test.want || judgement.Wait != test.wait {
 			t.Errorf("%s: %+v, want verdict %d, wait %v", test.name, judgement, test.want, test.wait)
 		}
@@ -76,23 +76,23 @@
 // One that proves malformed no longer counts.
 func TestWithheldValuesConfirmEachOther(t *testing.T) {
 	history := &History{}
-	var observed []Observation
+	var observed []observation
 	for range frequentCount {
-		observed = append(observed, history.Observe(valueOf(16)))
+		observed = append(observed, history.observe(valueOf(16)))
 	}
-	cut := history.Observe(valueOf(8))
+	cut := history.observe(valueOf(8))
 	for _, value := range observed {
-		if got := history.Judge(value, NoMessage).Verdict; got != Complete {
+		if got := history.judge(value, NoMessage).Verdict; got != Complete {
 			t.Errorf("verdict %d about one of %d values of one size", got, frequentCount)
 		}
 	}
-	longer := history.Observe(valueOf(24))
-	if got := history.Judge(observed[0], NoMessage).Verdict; got != Uncertain {
+	longer := history.observe(valueOf(24))
+	if got := history.judge(observed[0], NoMessage).Verdict; got != Uncertain {
 		t.Errorf("verdict %d while a longer value is withheld", got)
 	}
-	history.Retract(longer, false)
-	history.Retract(cut, false)
-	if got := history.Judge(observed[0], NoMessage).Verdict; got != Complete {
+	history.retract(longer, false)
+	history.retract(cut, false)
+	if got := history.judge(observed[0], NoMessage).Verdict; got != Complete {
 		t.Errorf("verdict %d after the longer value was retracted", got)
 	}
 }
@@ -101,10 +101,10 @@
 func TestJSONWithoutItsLastWhiteSpaceIsUncertain(t *testing.T) {
 	history := &History{}
 	for range frequentCount {
-		history.Accept(history.Observe([]byte("{\"a\":[1,2]}\n")))
+		history.accept(history.observe([]byte("{\"a\":[1,2]}\n")))
 	}
 	for value, want := range map[string]Verdict{"{\"b\":2}\n": Plausible, `{"b":2}`: Uncertain, `{"b":2`: Uncertain} {
-		if got := history.Judge(history.Observe([]byte(value)), NoMessage).Verdict; got != want {
+		if got := history.judge(history.observe([]byte(value)), NoMessage).Verdict; got != want {
 			t.Errorf("%q: verdict %d, want %d", value, got, want)
 		}
 	}
@@ -114,7 +114,7 @@
 func TestSizesAreBounded(t *testing.T) {
 	history := historyOf(received{100, 16})
 	for size := range 10 * maxSizes {
-		history.Observe(valueOf(size))
+		history.observe(valueOf(size))
 	}
 	if count := len(history.sizes.bySize); count > maxSizes {
 		t.Errorf("%d sizes are counted", count)
@@ -128,7 +128,7 @@
 func TestOldSizesAreForgotten(t *testing.T) {
 	history := historyOf(received{3, 40}, received{4 * forgetAfter, 16})
 	history.MalformedReceived()
-	if got := history.Judge(history.Observe(valueOf(16)), NoMessage).Verdict; got != Complete {
+	if got := history.judge(history.observe(valueOf(16)), NoMessage).Verdict; got != Complete {
 		t.Errorf("verdict %d long after the last larger value", got)
 	}
 }
