Send no hedge or retry that its query cannot wait for

A query is given up 20 ms before its deadline; hedges and retries were timed by the deadline.

Cause: a hedge starts once 2.5 times its expected time is left to the objective, which is the deadline where that is short. With replicas of 8 ms or less that is after the query was given up, so a straggler had no hedge at all; with slightly slower ones it is sent for a query that ends before its answer. A retry counted the last 20 ms as time left too.

Change: hedges and retries count the time until the query is given up (givenUpAt). First attempts go as before.

--- a/scheduler/deadline.go
+++ b/scheduler/deadline.go
@@ -65,6 +65,9 @@
 	}
 }
 
+// givenUpAt returns the time at which the query is given up unless it is answered before. No answer counts after it.
+func (q *query) givenUpAt() time.Duration { return q.deadlineAt - answerMargin }
+
 // queryAction is the next step for an open query.
 type queryAction int
 
@@ -79,7 +82,7 @@
 	if q.ended {
 		return continueQuery
 	}
-	outOfTime := now >= q.deadlineAt-answerMargin
+	outOfTime := now >= q.givenUpAt()
 	if q.awaitsSubqueries() {
 		if outOfTime {
 			return giveUpQuery
--- a/scheduler/hedge.go
+++ b/scheduler/hedge.go
@@ -33,8 +33,8 @@
 	stragglerFactor     = 6.0 // age of a straggler in a query of few subqueries
 	lastStragglerFactor = 1.5 // age of a straggler among the last twelfth of a query; a slowdown above 1 does not count
 
-	// hedgeSlackFactor is a multiple of a hedge's expected time. While more time than that is left to the objective,
-	// the attempt in flight is waited for.
+	// hedgeSlackFactor is a multiple of a hedge's expected time. While more time than that is left to the objective, or
+	// until the query is given up, the attempt in flight is waited for.
 	hedgeSlackFactor = 2.5
 
 	hedgeTokensPerReply = 0.3             // hedge tokens that a reply from any replica earns
@@ -135,11 +135,12 @@
 	}
 	age := now - attempt.sentAt
 	finish := h.estimates.expectedFinish(now, replica, subquery.work)
-	if finish >= min(query.deadlineAt-now, max(age, 2*attempt.expected)) {
+	if finish >= min(query.givenUpAt()-now, max(age, 2*attempt.expected)) {
 		return forbiddenCost
 	}
 	urgent := h.outliers.hangs(now, attempt) && h.headroom(now, replica) > 0
-	if !urgent && now+scale(finish, hedgeSlackFactor*max(1, query.relativeFanout())) <= query.objectiveAt {
+	neededAt := min(query.objectiveAt, query.givenUpAt())
+	if !urgent && now+scale(finish, hedgeSlackFactor*max(1, query.relativeFanout())) <= neededAt {
 		return forbiddenCost
 	}
 	return finish
--- a/scheduler/hedge_test.go
+++ b/scheduler/hedge_test.go
@@ -189,3 +189,26 @@
 		}
 	}
 }
+
+// A query whose objective is its deadline is given up answerMargin before that. A hedge that starts later than its expected
+// time before then is sent for a query that has ended when its answer comes; it starts earlier or not at all.
+func TestHedgeCanBeAnsweredBeforeItsQueryIsGivenUp(t *testing.T) {
+	m := newModel(t, 0)
+	m.keepOnly(102, 105)
+	for range 200 {
+		m.newQuery(0, 1, 3*time.Second)
+		m.iterate()
+		m.answerAllAfter(8 * ms)
+	}
+	query := m.newQuery(0, 1, 420*ms)
+	m.iterate()
+	m.advance(420 * ms)
+	attempts := query.subqueries[0].attempts
+	if len(attempts) != 2 {
+		t.Fatalf("%d attempts of a straggler, want 2", len(attempts))
+	}
+	expected := m.scheduler.classes[0].subqueryWork
+	if left := query.deadlineAt - answerMargin - attempts[1].sentAt; left < expected {
+		t.Errorf("at %v the hedge starts %v before its query is given up, and takes %v", attempts[1].sentAt-query.deadlineAt, left, expected)
+	}
+}
--- a/scheduler/release.go
+++ b/scheduler/release.go
@@ -127,10 +127,13 @@
 }
 
 // tooLate reports whether a queued subquery can no longer be answered in time: by the query's objective if its replica
-// is at its limit in the first phase, otherwise by the deadline.
+// is at its limit in the first phase, otherwise by the deadline or, for a retry, before the query is given up.
 func (scheduler *Scheduler) tooLate(subquery *subquery, queuedAhead []time.Duration) bool {
 	query, replica := subquery.query, subquery.replica
 	left := query.deadlineAt - scheduler.now
+	if subquery.nextIsRetryOrHedge() {
+		left = query.givenUpAt() - scheduler.now
+	}
 	if query.admittedAsTrial {
 		return scheduler.now >= query.objectiveAt // the trial tests the estimate, so it is not used here
 	}
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -126,3 +126,32 @@
 		}
 	}
 }
+
+// An attempt fails shortly before its query is given up. A retry that cannot be answered before that is not sent: it would
+// reach its replica about when the client gets its answer.
+func TestRetryThatCannotBeAnsweredInTimeIsNotSent(t *testing.T) {
+	m := newModel(t, 0)
+	m.keepOnly(102, 105)
+	for range 100 {
+		m.newQuery(0, 1, 3*time.Second)
+		m.iterate()
+		m.answerAllAfter(20 * ms)
+	}
+	query := m.newQuery(0, 1, 420*ms)
+	m.iterate()
+	m.advance(420*ms - answerMargin - 10*ms)
+	for _, flight := range m.inFlight() {
+		if flight.subquery.query == query {
+			m.endAttempt(flight.subquery, flight.number, Failed)
+		}
+	}
+	sent := len(m.sent)
+	m.iterate()
+	m.advance(5 * ms)
+	if len(m.sent) > sent {
+		t.Errorf("a retry was sent %v before the deadline", query.deadlineAt-m.now)
+	}
+	if !query.ended {
+		t.Error("the query is open though no answer can come")
+	}
+}
