Soak: keep ports apart from others, and note a reset behind an answer in time

Replicas, agents and co-ordinators now listen on a loopback address of the soak's process alone, which no outgoing connection uses either. The answer was lost, so that is allowed; the replica's side noted the end of its connection only after the other attempt had arrived. The check allows for its measurement slack there.

--- a/internal/soak/agent.go
+++ b/internal/soak/agent.go
@@ -40,7 +40,7 @@
 }
 
 func newAgent(soak *Soak) (*agent, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", anyPort())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/check_attempt.go
+++ b/internal/soak/check_attempt.go
@@ -67,7 +67,8 @@
 }
 
 // checkSentAgain checks that no attempt begins after the co-ordinator has received an answer of a replica on a connection
-// that stays open: the subquery is over.
+// that stays open: the subquery is over. If the connection is reset while the answer is withheld, the subquery is sent again
+// at once; the replica's side notes the end of a connection up to measurementSlack late.
 func (c *checker) checkSentAgain(attempts []*arrival) {
 	name := c.requests[attempts[0].query].coordinator.name
 	for _, answered := range attempts {
@@ -79,7 +80,7 @@
 				continue
 			}
 			c.countCheck(RuleSentAgain, name, answered.answeredAt, later.firstByteAt)
-			wasLost := answered.conn.endedAt > 0 && answered.conn.endedAt <= later.firstByteAt
+			wasLost := answered.conn.endedAt > 0 && answered.conn.endedAt <= later.firstByteAt+measurementSlack
 			after := later.firstByteAt - answered.answeredAt
 			slack := c.stoppedTime(name, answered.answeredAt, later.firstByteAt) + measurementSlack
 			if !wasLost && after > sentAgainSlack+slack {
--- a/internal/soak/coordinator.go
+++ b/internal/soak/coordinator.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"path/filepath"
@@ -23,8 +24,8 @@
 	// knownListLag is how many revisions the endpoint list that a process starts with is behind its agent.
 	knownListLag = 2
 
-	// shutdownAllowance is how long beyond the longest deadline a process may run after SIGTERM. slowWriteTime is
-	// added to it for writing the last answer to a slow client.
+	// shutdownAllowance is how long beyond the longest deadline a process may run after SIGTERM, and from when on SIGKILL
+	// may come. Where it does not, slowWriteTime is added for writing the last answer to a slow client.
 	shutdownAllowance = 700 * time.Millisecond
 	slowWriteTime     = 3*time.Second + 500*time.Millisecond
 )
@@ -83,7 +84,7 @@
 	program, err := fake.Launch(fake.Options{
 		Path:      c.soak.options.Program,
 		Name:      c.name,
-		Listen:    addr,
+		Listen:    cmp.Or(addr, anyPort()),
 		Discovery: c.agent().addr(),
 		Settings:  settingsJSON(c.soak.seed, c.soak.classes),
 		Known:     known,
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -60,7 +60,7 @@
 		replica.startUnixMS = time.Now().UnixMilli()
 	}
 	replica.resumed = sync.NewCond(&replica.mu)
-	return replica, replica.listen("127.0.0.1:0")
+	return replica, replica.listen(anyPort())
 }
 
 func (r *replica) listen(addr string) error {
