Record the outcome of a query at its answer again, unless a reply is unconfirmed

Cause: ReplyUnconfirmed counts a query as in time for admission once its replies suffice. The check stood before a confirmed reply was added to the answered weight, so it held for each last reply: the outcome was recorded at the event, not in Decide, and with several queries in one iteration admission saw them in another order than before.

Change: the check comes after the weight, with its tolerance, and only for a query that is open.

Result: TestConfirmedRepliesCountForAdmissionWhenTheQueryIsAnswered fails before and holds; the tests of the scheduler hold. Found by reading.

--- a/scheduler/results.go
+++ b/scheduler/results.go
@@ -49,6 +49,7 @@
 	replied.subquery.query.touched = true
 	scheduler.leaveReplica(replied, false)
 	scheduler.replyArrived(replied, reply.Took)
+	scheduler.recordIfRepliesSuffice(replied.subquery.query)
 }
 
 // openAttempt returns an attempt, or nil if it is unknown or has ended.
@@ -106,7 +107,6 @@
 	if !subquery.answered && !subquery.abandoned && !query.ended {
 		lateness := float64(took) / float64(scale(replied.expected, replica.slowdown)+1)
 		query.recordReply(subquery, lateness)
-		scheduler.recordIfRepliesSuffice(query)
 	}
 }
 
@@ -114,10 +114,10 @@
 // them is unconfirmed: the wait for its confirmation is no sign of overload.
 func (scheduler *Scheduler) recordIfRepliesSuffice(query *query) {
 	complete, _ := query.requiredWeights()
-	hasUnconfirmed := query.repliedWeight > query.answeredWeight
+	hasUnconfirmed := query.repliedWeight > query.answeredWeight+weightTolerance
 	isLastPhase := query.class.fetchSubqueries == 0 && !query.callerEndsPhases || query.phase > 0
 	inTime := scheduler.now <= query.objectiveAt
-	if hasUnconfirmed && isLastPhase && inTime && query.repliedWeight >= complete {
+	if !query.ended && hasUnconfirmed && isLastPhase && inTime && query.repliedWeight >= complete {
 		scheduler.admission.recordOutcome(scheduler.now, query, true)
 	}
 }
@@ -140,6 +140,7 @@
 	}
 	subquery.answered = true
 	query.answeredWeight += subquery.weight
+	scheduler.recordIfRepliesSuffice(query)
 	scheduler.stopSending(subquery)
 }
 
--- a/scheduler/results_test.go
+++ b/scheduler/results_test.go
@@ -89,3 +89,22 @@
 		t.Errorf("lateness factor %v, want 1", factor)
 	}
 }
+
+// Without unconfirmed replies a query counts for admission when it is answered, not as its last reply comes: the order of
+// events within an iteration decides nothing.
+func TestConfirmedRepliesCountForAdmissionWhenTheQueryIsAnswered(t *testing.T) {
+	m := newModel(t, 0)
+	query := m.newQuery(0, 2, 3*time.Second)
+	m.iterate()
+	m.advance(20 * ms)
+	for _, flight := range m.inFlight() {
+		m.answer(flight)
+	}
+	open := m.scheduler.queriesByID[query.id]
+	if open.objectiveRecorded {
+		t.Error("the outcome is recorded before the iteration ends")
+	}
+	if m.iterate(); !open.objectiveRecorded {
+		t.Error("the outcome of an answered query is not recorded")
+	}
+}
