Do not take a query that arrives during a shutdown for a client's retry

Trace: the query arrived with 3.51 s left of 30 s, as what arrives during a shutdown is answered before the earliest SIGKILL; others had 9.89 s. The scheduler takes a smaller share of the class's deadline for a client's retry, whose objective has passed, and rejected it.

Cause: the earlier end was passed on as the client's time. Change: QueryArrival has both; the client's time decides on retries, AnswerIn on the end of the query.

--- a/coordinator/arrival.go
+++ b/coordinator/arrival.go
@@ -148,7 +148,8 @@
 		Number:     query.number,
 		Class:      c.classes[query.request.Class].index,
 		Tenant:     c.tenantOf(query.request),
-		TimeLeft:   c.timeLeft(query),
+		TimeLeft:   max(0, query.arrived+query.request.Timeout-c.loop.Now()),
+		AnswerIn:   c.timeLeft(query),
 		WorkHint:   hint,
 		Subqueries: subqueries,
 	}
--- a/scheduler/arrivals.go
+++ b/scheduler/arrivals.go
@@ -25,6 +25,9 @@
 		touched:            true,
 	}
 	arrived.setDeadlines(arrival.TimeLeft, arrival.WorkHint, clientRetry)
+	if arrival.AnswerIn > 0 {
+		arrived.answerBy(now + arrival.AnswerIn)
+	}
 	if arrived.objectivePassed {
 		arrived.overQuota = true // its objective is now its deadline; admission allows it overQuotaShare of that
 	}
--- a/scheduler/deadline.go
+++ b/scheduler/deadline.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// answerBy makes a query end at a time if its deadline is later. Its client waits as long as before, so the earlier deadline
+// does not make it look like a client's retry.
+func (q *query) answerBy(at time.Duration) {
+	q.deadlineAt = min(q.deadlineAt, at)
+	q.objectiveAt = min(q.objectiveAt, q.deadlineAt)
+}
+
 // givenUpAt returns the time at which the query is given up unless it is answered before. No answer counts after it.
 func (q *query) givenUpAt() time.Duration { return q.deadlineAt - answerMargin }
 
--- a/scheduler/deadline_test.go
+++ b/scheduler/deadline_test.go
@@ -115,3 +115,24 @@
 		}
 	}
 }
+
+// A query that has to be answered before its client's deadline, as the process shuts down, is no client's retry for that: it is
+// admitted like those before it, and ends by the earlier time.
+func TestQueryToBeAnsweredEarlyIsNoClientRetry(t *testing.T) {
+	m := newModel(t, 0)
+	for range 4 {
+		m.newQuery(0, 1, 3*time.Second)
+		m.iterate()
+		m.answerAllAfter(20 * ms)
+	}
+	m.lastID++
+	id := m.lastID
+	m.scheduler.QueryArrives(m.now, QueryArrival{
+		ID: id, Number: QueryNumber(id), TimeLeft: 3 * time.Second, AnswerIn: 300 * ms, Subqueries: 1,
+	})
+	arrived := m.scheduler.queriesByID[id]
+	if arrived.overQuota || arrived.objectivePassed || arrived.deadlineAt != m.now+300*ms {
+		t.Errorf("over quota %t, objective passed %t, deadline in %v",
+			arrived.overQuota, arrived.objectivePassed, arrived.deadlineAt-m.now)
+	}
+}
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -25,6 +25,7 @@
 	Class      ClassIndex
 	Tenant     TenantIndex
 	TimeLeft   time.Duration // until the client's deadline
+	AnswerIn   time.Duration // until the query has to be answered if that is earlier; 0: by the client's deadline
 	WorkHint   time.Duration // the client's estimate of the whole query's work; 0: none
 	Subqueries int           // of its first phase
 }
