Show that sound replies are thrown away for what comes behind them

TestRepliesAreKeptWhateverComesBehindThem plays it on real processes: a reset or an orderly end 0.1 to 0.3 s behind one reply in eight, the first two bytes of a message, or noise in place of one reply in twenty.

The trials now take a disruption and record how long after the reply a subquery is sent again.

--- a/cmd/terntray/withheld_test.go
+++ b/cmd/terntray/withheld_test.go
@@ -62,3 +62,48 @@
 		}
 	}
 }
+
+// Guards against sound replies that are thrown away for what comes behind them while they are withheld: a reset or the orderly
+// end of their connection, the first bytes of a message that never goes on, or noise in place of another reply. The
+// subquery was sent again although it was over, and its query failed, also where the effect had run.
+func TestRepliesAreKeptWhateverComesBehindThem(t *testing.T) {
+	const (
+		queries = 60
+		rate    = 10 // per second
+	)
+	type disruption struct {
+		kind    valuetrial.Disruption
+		share   int // one reply in so many
+		mayFail bool
+	}
+	disruptions := []disruption{
+		{kind: valuetrial.ResetBehind, share: 8},
+		{kind: valuetrial.EndBehind, share: 8},
+		{kind: valuetrial.FragmentBehind, share: 8, mayFail: true}, // calls in progress on the connection get no reply
+		{kind: valuetrial.Noise, share: 20, mayFail: true},         // so does the call that the noise is for
+	}
+	for _, class := range []valuetrial.Class{valuetrial.Safe, valuetrial.Unsafe} {
+		for _, http2 := range []bool{false, true} {
+			for _, disruption := range disruptions {
+				t.Run(fmt.Sprintf("%s, HTTP/2 %t, %s", class, http2, disruption.kind), func(t *testing.T) {
+					t.Parallel()
+					result, err := valuetrial.Run(valuetrial.Options{
+						Path: os.Args[0], Env: []string{mainVariable + "=1"}, Class: class, HTTP2: http2, Sizes: 3000,
+						Disruption: disruption.kind, Share: disruption.share, Queries: queries, Rate: rate, Seed: 1,
+					})
+					if err != nil {
+						t.Fatal(err)
+					}
+					if strings.Contains(result.Log, "DATA RACE") || strings.Contains(result.Log, "event=violation") {
+						t.Errorf("the log:\n%s", result.Log)
+					}
+					failed := result.Failed + result.Rejected
+					if result.SentAgain+result.Wrong > 0 || failed > 0 && !disruption.mayFail {
+						t.Errorf("sent again %d (after %v), wrong %d, failed or rejected %d; the log:\n%s",
+							result.SentAgain, result.Gaps, result.Wrong, failed, result.Log)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/valuetrial/replies.go
+++ b/internal/valuetrial/replies.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +16,11 @@
 const (
 	smallestValue   = 40 // bytes
 	maxMissingBytes = 8  // by which the length of a spoilt reply is too small
+
+	minBehind       = 100 * time.Millisecond // shortest time from a reply to the end of its connection
+	maxBehind       = 300 * time.Millisecond // longest one
+	idlePoll        = time.Millisecond       // between two looks at whether a connection is idle
+	replyPause      = 400 * time.Millisecond // of a replica that stands still within a reply
 	recordsPerShard = 6
 	selectivity     = 0.5
 	queryText       = "score>=0"
@@ -31,7 +37,9 @@
 	mu         sync.Mutex
 	random     *rand.Rand
 	answeredAt map[string]time.Time // of sound replies, by subquery
-	sentAgain  int
+	unusable   map[net.Conn]bool    // connections on which nothing more is written
+	inProgress map[net.Conn]int     // calls without a reply
+	gaps       []time.Duration      // from a sound reply to the next attempt at its subquery
 	attempts   int
 }
 
@@ -41,32 +49,72 @@
 		data:       fake.NewShards(options.Seed, shards, recordsPerShard, selectivity),
 		random:     rand.New(rand.NewPCG(options.Seed, 1)),
 		answeredAt: map[string]time.Time{},
+		unusable:   map[net.Conn]bool{},
+		inProgress: map[net.Conn]int{},
 	}
 }
 
 // behavior returns the behavior of the replicas. A sound reply counts as made once it has been written.
 func (replies *replies) behavior() fake.Behavior {
-	sound := fake.After(work, func(replica *fake.Replica, call fake.Call) {
-		fake.Succeed(replica, call)
-		replies.answered(call.ID)
-	})
 	return func(replica *fake.Replica, call fake.Call) {
-		replies.received(call.ID)
-		if spoilt := replies.spoilt(); spoilt != nil {
-			fake.After(work, spoilt)(replica, call)
-			return
-		}
-		sound(replica, call)
+		replies.received(call)
+		reply, isSound := replies.draw()
+		fake.After(work, func(replica *fake.Replica, call fake.Call) {
+			defer replies.done(call)
+			if replies.isUnusable(call.Conn) {
+				return
+			}
+			reply(replica, call)
+			if isSound {
+				replies.answered(call.ID)
+			}
+		})(replica, call)
 	}
 }
 
-// spoilt returns the behavior of a reply that is to be spoilt, or nil for a sound one.
-func (replies *replies) spoilt() fake.Behavior {
+// draw returns the behavior of a reply, and whether that is sound.
+func (replies *replies) draw() (reply fake.Behavior, isSound bool) {
 	replies.mu.Lock()
 	defer replies.mu.Unlock()
-	if replies.options.Spoilt == 0 || replies.random.IntN(replies.options.Spoilt) != 0 {
-		return nil
+	if replies.options.Share == 0 || replies.random.IntN(replies.options.Share) != 0 {
+		return fake.Succeed, true
+	}
+	behind := minBehind + time.Duration(replies.random.Int64N(int64(maxBehind-minBehind)))
+	switch replies.options.Disruption {
+	case Spoilt:
+		return replies.drawSpoilt(), false
+	case Noise:
+		return fake.Garbage, false
+	case ResetBehind:
+		return fake.SucceedThen(behind, replies.onceIdle(fake.ResetConnection)), true
+	case EndBehind:
+		return fake.SucceedThen(behind, replies.onceIdle(fake.CloseConnection)), true
+	case FragmentBehind:
+		return replies.succeedWithFragment, true
+	case PausedReplies:
+		return fake.SucceedWithPause(replyPause), true
+	}
+	return fake.Succeed, true
+}
+
+// onceIdle returns a behavior that waits until no call is in progress on its connection: other calls are not disrupted.
+func (replies *replies) onceIdle(behavior fake.Behavior) fake.Behavior {
+	return func(replica *fake.Replica, call fake.Call) {
+		for replies.isBusy(call.Conn) {
+			time.Sleep(idlePoll)
+		}
+		behavior(replica, call)
 	}
+}
+
+func (replies *replies) isBusy(conn net.Conn) bool {
+	replies.mu.Lock()
+	defer replies.mu.Unlock()
+	return replies.inProgress[conn] > 0
+}
+
+// drawSpoilt returns the behavior of a spoilt reply. The caller holds the mutex.
+func (replies *replies) drawSpoilt() fake.Behavior {
 	kind := replies.random.IntN(len(restDelays) + 1)
 	if kind == len(restDelays) {
 		return fake.Garbage
@@ -74,16 +122,39 @@
 	return fake.ShortLength(1+replies.random.IntN(maxMissingBytes), restDelays[kind])
 }
 
+// succeedWithFragment replies and begins another message, behind which the connection is silent.
+func (replies *replies) succeedWithFragment(replica *fake.Replica, call fake.Call) {
+	replies.mu.Lock()
+	replies.unusable[call.Conn] = true
+	replies.mu.Unlock()
+	fake.Succeed(replica, call)
+	fake.BeginMessage(replica, call)
+}
+
+func (replies *replies) isUnusable(conn net.Conn) bool {
+	replies.mu.Lock()
+	defer replies.mu.Unlock()
+	return replies.unusable[conn]
+}
+
 // received counts an attempt.
-func (replies *replies) received(subquery string) {
+func (replies *replies) received(call fake.Call) {
 	replies.mu.Lock()
 	defer replies.mu.Unlock()
 	replies.attempts++
-	if at, isAnswered := replies.answeredAt[subquery]; isAnswered && time.Since(at) > sentAgainAfter {
-		replies.sentAgain++
+	replies.inProgress[call.Conn]++
+	if at, isAnswered := replies.answeredAt[call.ID]; isAnswered {
+		replies.gaps = append(replies.gaps, time.Since(at))
 	}
 }
 
+// done notes that nothing more is done for a call.
+func (replies *replies) done(call fake.Call) {
+	replies.mu.Lock()
+	defer replies.mu.Unlock()
+	replies.inProgress[call.Conn]--
+}
+
 func (replies *replies) answered(subquery string) {
 	replies.mu.Lock()
 	defer replies.mu.Unlock()
@@ -92,10 +163,17 @@
 	}
 }
 
-func (replies *replies) counts() (sentAgain, attempts int) {
+// sentAgain returns, for each attempt that came more than sentAgainAfter after a sound reply to its subquery, the time
+// since that reply, and the number of all attempts.
+func (replies *replies) sentAgain() (gaps []time.Duration, attempts int) {
 	replies.mu.Lock()
 	defer replies.mu.Unlock()
-	return replies.sentAgain, replies.attempts
+	for _, gap := range replies.gaps {
+		if gap > sentAgainAfter {
+			gaps = append(gaps, gap)
+		}
+	}
+	return gaps, replies.attempts
 }
 
 // valueOf returns the value of a call.
--- a/internal/valuetrial/trial.go
+++ b/internal/valuetrial/trial.go
@@ -47,19 +47,34 @@
 	TwoPhases Class = "report" // idempotent, in two phases; values are JSON objects
 )
 
+// Disruption is what happens to a share of the replies.
+type Disruption string
+
+// The disruptions. In the first two the replies themselves are not sound.
+const (
+	NoDisruption   Disruption = ""
+	Spoilt         Disruption = "spoilt"   // the length of a reply is too small, or noise comes in its place
+	Noise          Disruption = "noise"    // noise comes in place of a reply
+	ResetBehind    Disruption = "reset"    // the connection is reset 0.1 to 0.3 s after a reply
+	EndBehind      Disruption = "end"      // the connection ends in order 0.1 to 0.3 s after a reply
+	FragmentBehind Disruption = "fragment" // the first bytes of a message follow a reply, and nothing after them
+	PausedReplies  Disruption = "pause"    // the replica stands still for 0.4 s when it has written the first bytes of a reply
+)
+
 // Options configure a trial.
 type Options struct {
 	Path string   // of the program
 	Env  []string // additional environment of the program
 	Args []string // additional arguments of serve
 
-	Class   Class
-	HTTP2   bool // the replicas' protocol; false: frames
-	Sizes   int  // number of different sizes of values
-	Spoilt  int  // one reply in so many is spoilt; 0: none
-	Queries int
-	Rate    float64 // queries per second
-	Seed    uint64
+	Class      Class
+	HTTP2      bool // the replicas' protocol; false: frames
+	Sizes      int  // number of different sizes of values
+	Disruption Disruption
+	Share      int // one reply in so many is disrupted; 0: none
+	Queries    int
+	Rate       float64 // queries per second
+	Seed       uint64
 }
 
 // Result is what was measured.
@@ -70,7 +85,8 @@
 	Wrong     int // queries that were served a value that no replica made for them
 	// SentAgain counts attempts that arrived more than sentAgainAfter after a replica's sound reply to their subquery.
 	SentAgain int
-	Ejected   int // replicas ejected, counted anew each time
+	Gaps      []time.Duration // of these attempts: the time since that reply
+	Ejected   int             // replicas ejected, counted anew each time
 	Attempts  int
 	Conns     int // connections made to replicas
 	Log       string
@@ -87,6 +103,7 @@
 	result.Rejected += other.Rejected
 	result.Wrong += other.Wrong
 	result.SentAgain += other.SentAgain
+	result.Gaps = append(result.Gaps, other.Gaps...)
 	result.Ejected += other.Ejected
 	result.Attempts += other.Attempts
 	result.Conns += other.Conns
@@ -206,7 +223,8 @@
 		}
 	}
 	slices.SortFunc(result.Latencies, cmp.Compare)
-	result.SentAgain, result.Attempts = fleet.replies.counts()
+	result.Gaps, result.Attempts = fleet.replies.sentAgain()
+	result.SentAgain = len(result.Gaps)
 	result.Log = fleet.program.Log()
 	result.Ejected = strings.Count(result.Log, " ejected: ")
 	for _, replica := range fleet.replicas {
--- a/proofs/values/main.go
+++ b/proofs/values/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -22,21 +23,31 @@
 	shortQueries = 17   // that a co-ordinator of a large fleet gets
 	shortTrials  = 4    // processes that get shortQueries each
 	spoiltShare  = 40   // one reply in so many is spoilt
+	slowRate     = 10.0 // queries per second: few replies share a connection with others
+	slowQueries  = 80
+	behindShare  = 8 // something follows one reply in so many
 	seed         = 1
 )
 
 // load is the queries of a row of the table.
 type load struct {
-	name    string
-	queries int
-	trials  int // processes, one after the other
-	spoilt  int
+	name       string
+	queries    int
+	trials     int // processes, one after the other
+	rate       float64
+	disruption valuetrial.Disruption
+	share      int // one reply in so many is disrupted
 }
 
 var loads = []load{
-	{"8 s from a fresh start", longQueries, 1, 0},
-	{"17 queries from a fresh start", shortQueries, shortTrials, 0},
-	{"8 s, one reply in 40 spoilt", longQueries, 1, spoiltShare},
+	{"8 s from a fresh start", longQueries, 1, rate, valuetrial.NoDisruption, 0},
+	{"17 queries from a fresh start", shortQueries, shortTrials, rate, valuetrial.NoDisruption, 0},
+	{"8 s, one reply in 40 spoilt", longQueries, 1, rate, valuetrial.Spoilt, spoiltShare},
+	{"8 s, resets behind replies", slowQueries, 1, slowRate, valuetrial.ResetBehind, behindShare},
+	{"8 s, ends behind replies", slowQueries, 1, slowRate, valuetrial.EndBehind, behindShare},
+	{"8 s, fragments behind replies", slowQueries, 1, slowRate, valuetrial.FragmentBehind, behindShare},
+	{"8 s, pauses within replies", slowQueries, 1, slowRate, valuetrial.PausedReplies, spoiltShare},
+	{"8 s, one reply in 40 noise", longQueries, 1, rate, valuetrial.Noise, spoiltShare},
 }
 
 // variant is a protocol and a class.
@@ -62,6 +73,7 @@
 	program := flag.String("program", "bin/terntray", "path of the program to test")
 	compare := flag.String("compare", "", "other builds to measure, as paths separated by commas")
 	only := flag.String("only", "", "part of the names of the variants to run; empty: all")
+	onlyLoad := flag.String("load", "", "part of the names of the loads to run; empty: all")
 	parallel := flag.Int("beside", 4, "maximum number of trials that run in parallel")
 	logs := flag.String("logs", "", "folder for the programs' traces; empty: none")
 	flag.Parse()
@@ -69,7 +81,7 @@
 	if *compare != "" {
 		programs = append(programs, strings.Split(*compare, ",")...)
 	}
-	rows := newRows(programs, *only)
+	rows := newRows(programs, *only, *onlyLoad)
 	proof.Parallel(len(rows), *parallel, func(index int) { rows[index].run(*logs) })
 	printTable(rows)
 	exit(rows, *program)
@@ -85,13 +97,16 @@
 	err     error
 }
 
-func newRows(programs []string, only string) []*row {
+func newRows(programs []string, only, onlyLoad string) []*row {
 	var rows []*row
 	for _, variant := range variants {
 		if !strings.Contains(variant.name, only) {
 			continue
 		}
 		for _, load := range loads {
+			if !strings.Contains(load.name, onlyLoad) {
+				continue
+			}
 			for _, sizes := range variant.sizes {
 				for _, program := range programs {
 					rows = append(rows, &row{program: program, variant: variant, load: load, sizes: sizes})
@@ -107,7 +122,8 @@
 	for trial := range row.load.trials {
 		options := valuetrial.Options{
 			Path: row.program, Class: row.variant.class, HTTP2: row.variant.http2, Sizes: row.sizes,
-			Spoilt: row.load.spoilt, Queries: row.load.queries, Rate: rate, Seed: seed + uint64(trial),
+			Disruption: row.load.disruption, Share: row.load.share,
+			Queries: row.load.queries, Rate: row.load.rate, Seed: seed + uint64(trial),
 		}
 		if logs != "" {
 			options.Args = []string{"-trace"}
@@ -132,18 +148,27 @@
 
 func printTable(rows []*row) {
 	fmt.Println("| replicas and class | load | sizes | build | median | p99 | served | rejected | failed | wrong | " +
-		"sent again | ejected | attempts | connections |")
-	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+		"sent again | after | ejected | attempts | connections |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, row := range rows {
 		result := &row.result
-		fmt.Printf("| %s | %s | %d | %s | %v | %v | %d | %d | %d | %d | %d | %d | %d | %d |\n",
+		fmt.Printf("| %s | %s | %d | %s | %v | %v | %d | %d | %d | %d | %d | %s | %d | %d | %d |\n",
 			row.variant.name, row.load.name, row.sizes, filepath.Base(row.program),
 			result.Percentile(0.5).Round(time.Millisecond/10), result.Percentile(0.99).Round(time.Millisecond/10),
-			len(result.Latencies), result.Rejected, result.Failed, result.Wrong, result.SentAgain, result.Ejected,
+			len(result.Latencies), result.Rejected, result.Failed, result.Wrong, result.SentAgain, span(result.Gaps),
+			result.Ejected,
 			result.Attempts, result.Conns)
 	}
 }
 
+// span returns the smallest and the largest of some durations.
+func span(gaps []time.Duration) string {
+	if len(gaps) == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%v to %v", slices.Min(gaps).Round(time.Millisecond), slices.Max(gaps).Round(time.Millisecond))
+}
+
 // exit prints the closing line and exits. Spoilt replies may eject replicas, and one behind a sound reply that is withheld
 // spoils that as well, so that its subquery is sent again.
 func exit(rows []*row, program string) {
@@ -158,8 +183,10 @@
 		}
 		served += len(row.result.Latencies)
 		wrong += row.result.Wrong
-		if row.load.spoilt == 0 {
+		if row.load.disruption != valuetrial.Spoilt {
 			sentAgain += row.result.SentAgain
+		}
+		if row.load.disruption == valuetrial.NoDisruption {
 			ejected += row.result.Ejected
 		}
 	}
