Keep replies that were read, whatever comes behind them on their connection

Cause: a withheld reply was kept only by an orderly end of its connection. A reset, a message that stalled behind it, noise, our own close (a restarted replica, a ping without an answer) threw it away, and its attempt ended as malformed. Class: an event that says nothing about a reply decides what becomes of it. A reset shows no more about a length than an orderly end, which a killed replica may cause as well.

Change: the reader gives the session the end of the input, whatever caused it, and posts the withheld reply before the end. Package valuecheck decides: a value is served at an end unless its size is unusual (none of its size, while all recent values had frequent sizes). Bytes behind a value that cannot go on with it as UTF-8 are noise, not its rest. The pool takes a reply that was read before it failed the connection.

--- a/cmd/terntray/wronglength_test.go
+++ b/cmd/terntray/wronglength_test.go
@@ -71,6 +71,44 @@
 	}
 }
 
+// Guards against clients being served a value that is cut short because its connection ends before the rest comes: an end,
+// orderly or not, shows nothing about the length of the reply before it. That the size is unusual does.
+func TestValueCutShortBeforeItsConnectionEndsIsNotServed(t *testing.T) {
+	const (
+		settled   = 80                    // values of one size after which another one is unusual
+		endsAfter = 50 * time.Millisecond // less than a value is withheld over frames
+	)
+	for _, model := range []string{"m", "h2"} {
+		for end, endConnection := range map[string]fake.Behavior{"reset": reset, "orderly": fake.CloseConnection} {
+			for _, missing := range []int{1, 3, 8} {
+				t.Run(fmt.Sprintf("%s, %s, %d missing", model, end, missing), func(t *testing.T) {
+					t.Parallel()
+					replica := newReplica(t, "s-a", 0, succeed)
+					replica.Model = model
+					replica.OmitsContentLength = true
+					program, _ := startDeploymentWith(t, settings, allHTTP2, 1024, replica)
+					client := program.connect()
+					receiveValues(client, replica, settled)
+					replica.SetBehavior(func(replica *fake.Replica, call fake.Call) {
+						replica.SetBehavior(succeed)
+						replica.IgnorePings(true) // an answer would be taken for what follows the value
+						fake.CutShort(missing)(replica, call)
+						time.AfterFunc(endsAfter, func() {
+							endConnection(replica, call)
+							replica.IgnorePings(false)
+						})
+					})
+					client.send(query("look", "q1", 10, 3))
+					client.expect(map[int]string{3: value(replica, 3)})
+					if legs := program.counters()["legs"]; legs != settled+2 {
+						t.Errorf("%d attempts, want %d", legs, settled+2)
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against clients being served another query's reply behind their own: the length of a reply takes in the next one
 // on its connection, whole, in part or twice, and its rest arrives with it or later. Both subqueries may have run.
 func TestValueThatTakesInTheNextReplyIsNotServed(t *testing.T) {
--- a/connpool/replies.go
+++ b/connpool/replies.go
@@ -47,11 +47,15 @@
 	readAt time.Duration) (ended *Attempt, late bool) {
 	pool.now = now
 	conn := pool.conns[id]
-	if conn == nil || conn.failed {
+	if conn == nil {
 		return nil, false
 	}
-	conn.noteBytes(readAt)
 	answered := conn.find(attempt, subquery)
+	wasReadBefore := answered != nil && answered.unconfirmed // before the connection failed, if it has
+	if conn.failed && !wasReadBefore {
+		return nil, false
+	}
+	conn.noteBytes(readAt)
 	if answered != nil && !answered.finished {
 		answered.finished = true
 		pool.release(answered, replied)
--- a/connpool/replies_test.go
+++ b/connpool/replies_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -36,6 +37,29 @@
 	}
 }
 
+// The pool closes a connection that it takes for dead, for a ping without an answer or for malformed input behind a reply.
+// A reply that was read before is released at the end of the connection, and counts.
+func TestReplyReadBeforeItsConnectionFailedCounts(t *testing.T) {
+	for _, protocol := range bothProtocols {
+		host, attempt, conn := withheld(t, protocol, Limits{MaxAttemptsPerConn: 8, MaxConns: 9})
+		unanswered, other := host.send("q.2", false)
+		if other != conn {
+			t.Fatalf("%s: the second attempt is on another connection", protocol)
+		}
+		markFullyWritten(unanswered)
+		host.pool.MalformedReceived(host.now, conn, errors.New("a message stalled"))
+		if ended, _ := host.reply(conn, attempt); ended != attempt {
+			t.Errorf("%s: the reply that was read before does not count", protocol)
+		}
+		if ended, _ := host.reply(conn, unanswered); ended != nil {
+			t.Errorf("%s: a reply that was not read before counts", protocol)
+		}
+		host.endConn(conn, net.ErrClosed)
+		host.expectOutcomes(attempt)
+		host.expectOutcomes(unanswered, scheduler.MalformedReply)
+	}
+}
+
 // A client leaves while a reply is withheld. There is nothing to cancel, and the connection is as good as before.
 func TestAttemptWithAWithheldReplyIsNotCancelled(t *testing.T) {
 	for _, protocol := range bothProtocols {
--- a/internal/fake/afterreply.go
+++ b/internal/fake/afterreply.go
@@ -17,8 +17,15 @@
 // CloseConnection closes the connection in order.
 func CloseConnection(_ *Replica, call Call) { call.Conn.Close() }
 
-// BeginMessage writes the first bytes of a message that never ends.
-func BeginMessage(_ *Replica, call Call) { _, _ = call.Conn.Write(partialHeader) }
+// BeginMessage writes the first bytes of a message that never goes on. Over frames the caller sees to it that nothing
+// more is written on the connection.
+func BeginMessage(_ *Replica, call Call) {
+	if call.http2 != nil {
+		call.http2.writeLast(partialHeader)
+		return
+	}
+	_, _ = call.Conn.Write(partialHeader)
+}
 
 // SucceedWithPause returns a behavior that replies as Succeed does, except that the replica stands still for a while when
 // it has written the first bytes of the reply. It does so over frames only.
--- a/internal/replicaproto/frames/session.go
+++ b/internal/replicaproto/frames/session.go
@@ -170,5 +170,8 @@
 // ReleaseReply lets Next return the withheld reply.
 func (session *Session) ReleaseReply() { session.replies.Release() }
 
+// EndInput lets Next return the withheld reply, as no more input will follow.
+func (session *Session) EndInput() { session.replies.EndInput() }
+
 // HasPartialMessage reports whether an incomplete frame has been received.
 func (session *Session) HasPartialMessage() bool { return session.replies.Buffered() > 0 }
--- a/internal/replicaproto/http2/withheld.go
+++ b/internal/replicaproto/http2/withheld.go
@@ -36,7 +36,7 @@
 	case decision == valuecheck.Wait:
 		session.pingToConfirm()
 		return false, nil
-	case decision == valuecheck.Reject && follower == valuecheck.FollowedByOther:
+	case decision == valuecheck.Reject && err != nil:
 		return false, err
 	case decision == valuecheck.Reject:
 		return false, fmt.Errorf("%w: a value contains other frames", http2.ConnectionError(http2.ErrCodeProtocol))
@@ -47,12 +47,12 @@
 	return true, nil
 }
 
-// followerOf says what the bytes behind a frame are, with the error of those that are no frame.
+// followerOf says what the bytes behind the frame of the withheld reply are, with the error of those that are no frame.
 func (session *Session) followerOf(input []byte) (valuecheck.Follower, error) {
 	isFrame, err := session.checkFollower(input)
 	switch {
 	case err != nil:
-		return valuecheck.FollowedByOther, err
+		return session.withheld.value.Classify(input), err
 	case isFrame:
 		return valuecheck.FollowedByMessage, nil
 	}
@@ -81,6 +81,13 @@
 	}
 }
 
+// EndInput lets Next return the withheld reply, as no more input will follow.
+func (session *Session) EndInput() {
+	if session.withheld != nil {
+		session.withheld.value.EndInput()
+	}
+}
+
 // noteMalformed notes that the connection's input is malformed, and takes back the value before it: its length was
 // probably wrong.
 func (session *Session) noteMalformed() {
--- a/internal/replicaproto/session.go
+++ b/internal/replicaproto/session.go
@@ -55,6 +55,9 @@
 	Withheld() (withheld WithheldReply, exists bool)
 	// ReleaseReply lets Next return the withheld reply, as nothing has followed it for long enough.
 	ReleaseReply()
+	// EndInput notifies the session that no more input will follow, whatever the reason. Next then returns the withheld
+	// reply, unless the size of its value says that it was cut short.
+	EndInput()
 	// HasPartialMessage reports whether an incomplete message has been received.
 	HasPartialMessage() bool
 }
--- a/internal/valuetrial/replies.go
+++ b/internal/valuetrial/replies.go
@@ -66,7 +66,7 @@
 			}
 			reply(replica, call)
 			if isSound {
-				replies.answered(call.ID)
+				replies.noteAnswered(call.ID)
 			}
 		})(replica, call)
 	}
@@ -155,7 +155,8 @@
 	replies.inProgress[call.Conn]--
 }
 
-func (replies *replies) answered(subquery string) {
+// noteAnswered notes that a sound reply to a subquery was written.
+func (replies *replies) noteAnswered(subquery string) {
 	replies.mu.Lock()
 	defer replies.mu.Unlock()
 	if _, isAnswered := replies.answeredAt[subquery]; !isAnswered {
@@ -163,6 +164,25 @@
 	}
 }
 
+// lastAnswered returns when the last subquery of a query had its first sound reply, and false if one had none by the
+// given time.
+func (replies *replies) lastAnswered(number int, by time.Time) (last time.Time, all bool) {
+	replies.mu.Lock()
+	defer replies.mu.Unlock()
+	prefix := fmt.Sprintf("%s-%d.", queryName, number)
+	count := 0
+	for subquery, at := range replies.answeredAt {
+		if !strings.HasPrefix(subquery, prefix) || at.After(by) {
+			continue
+		}
+		count++
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last, count == subqueries
+}
+
 // sentAgain returns, for each attempt that came more than sentAgainAfter after a sound reply to its subquery, the time
 // since that reply, and the number of all attempts.
 func (replies *replies) sentAgain() (gaps []time.Duration, attempts int) {
@@ -215,7 +235,7 @@
 		return false
 	}
 	for _, match := range got.Matches {
-		subquery := fmt.Sprintf("q-%d.%d", number, match.Segment)
+		subquery := fmt.Sprintf("%s-%d.%d", queryName, number, match.Segment)
 		if match.Payload != valueFor(subquery, replies.options.Sizes) {
 			return false
 		}
--- a/internal/wire/replies.go
+++ b/internal/wire/replies.go
@@ -106,14 +106,23 @@
 	}
 }
 
+// EndInput lets Next return the withheld reply, as no more bytes will follow it, unless the size of its value says that it was
+// cut short.
+func (reader *ReplyReader) EndInput() {
+	if reader.withheld != nil {
+		reader.withheld.value.EndInput()
+	}
+}
+
 // confirm returns the withheld reply once its length is known to fit, and nil without an error until then.
 func (reader *ReplyReader) confirm() (*Reply, error) {
 	withheld := reader.withheld
-	follower := followerOf(reader.Bytes())
+	follower := withheld.followerOf(reader.Bytes())
+	isFollowedByOther := follower == valuecheck.FollowedByOther || follower == valuecheck.FollowedByNoise
 	switch decision := withheld.decide(follower); {
 	case decision == valuecheck.Wait:
 		return nil, nil
-	case decision == valuecheck.Reject && follower == valuecheck.FollowedByOther:
+	case decision == valuecheck.Reject && isFollowedByOther:
 		return nil, malformed("reply with a value of %d bytes followed by bytes that are not a frame",
 			len(withheld.reply.Value))
 	case decision == valuecheck.Reject:
@@ -124,12 +133,12 @@
 	return withheld.reply, nil
 }
 
-// followerOf says what the bytes behind a frame are.
-func followerOf(buffered []byte) valuecheck.Follower {
+// followerOf says what the bytes behind the frame of a reply are.
+func (withheld *withheldReply) followerOf(buffered []byte) valuecheck.Follower {
 	header, err := parseFrameHeader(buffered)
 	switch {
 	case err != nil:
-		return valuecheck.FollowedByOther
+		return withheld.value.Classify(buffered)
 	case header.complete:
 		return valuecheck.FollowedByMessage
 	}
--- a/replicaconn/reader.go
+++ b/replicaconn/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"os"
 	"time"
@@ -88,17 +87,25 @@
 		}
 		reader.noteReady(input.Events)
 		reader.trackWithheld(&input)
-		reader.post(input)
-		if input.Malformed != nil {
-			return input.Malformed
+		if input.endCause() != nil {
+			reader.endInput()
 		}
-		if input.err != nil {
-			return input.err
+		reader.post(input)
+		if cause := input.endCause(); cause != nil {
+			return cause
 		}
 		reader.setReadDeadline()
 	}
 }
 
+// endCause returns the error that ends the connection with this input, or nil if there is none.
+func (input *Input) endCause() error {
+	if input.Malformed != nil {
+		return input.Malformed
+	}
+	return input.err
+}
+
 // nextInput reads once, and does what is due for the withheld reply then. It returns false if one more read has to follow.
 func (reader *reader) nextInput() (input Input, complete bool) {
 	input = reader.read()
@@ -109,9 +116,7 @@
 		if reader.recheck() {
 			return input, false
 		}
-		return reader.release(nil), true
-	case errors.Is(input.err, io.EOF) && reader.withheld.exists():
-		return reader.release(input.err), true
+		return reader.release(), true
 	}
 	return input, true
 }
--- a/replicaconn/withheld.go
+++ b/replicaconn/withheld.go
@@ -10,9 +10,9 @@
 )
 
 // withheldReply is the reply that a connection's session withholds because a length in it may be wrong. It is released
-// once it was withheld for as long as its judgement says, or at the orderly end of the connection, if nothing has followed
-// it. If other bytes than another message follow it, the session reports malformed input and its attempt ends with the
-// connection.
+// once it was withheld for as long as its judgement says. Only bytes that follow it can show that it is malformed: the
+// session then reports malformed input, and its attempt ends with the connection. Any other end of the connection leaves
+// the session to decide by the value (endInput): the orderly end, a reset, a message that stalled, or our own close.
 type withheldReply struct {
 	readAt  time.Duration // since process start
 	until   time.Time     // when it is to be released; zero if there is no such reply
@@ -67,20 +67,25 @@
 	return true
 }
 
-// release returns the withheld reply as the input of a read that ended with the given error.
-func (reader *reader) release(err error) Input {
-	return reader.takeWithheld(err, replicaproto.Session.ReleaseReply)
-}
+// release returns the withheld reply as the input of a read.
+func (reader *reader) release() Input { return reader.takeWithheld(replicaproto.Session.ReleaseReply) }
 
 // judgeAgain lets the session judge the withheld reply again.
-func (reader *reader) judgeAgain() Input {
-	return reader.takeWithheld(nil, func(replicaproto.Session) {})
+func (reader *reader) judgeAgain() Input { return reader.takeWithheld(func(replicaproto.Session) {}) }
+
+// endInput posts the reply that is withheld at the end of the connection, if the session returns it.
+func (reader *reader) endInput() {
+	if reader.withheld.exists() {
+		input := reader.takeWithheld(replicaproto.Session.EndInput)
+		reader.trackWithheld(&input)
+		reader.post(input)
+	}
 }
 
-// takeWithheld prepares the session, and takes its events as the input of a read that ended with the given error.
-func (reader *reader) takeWithheld(err error, prepare func(replicaproto.Session)) Input {
+// takeWithheld prepares the session, and takes its events as the input of a read.
+func (reader *reader) takeWithheld(prepare func(replicaproto.Session)) Input {
 	conn := reader.conn
-	input := Input{err: err, At: reader.withheld.readAt}
+	input := Input{At: reader.withheld.readAt}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	prepare(conn.session)
--- a/valuecheck/valuecheck.go
+++ b/valuecheck/valuecheck.go
@@ -45,9 +45,10 @@
 
 // Judgement is a verdict, with what is to be done while it is Uncertain.
 type Judgement struct {
-	Verdict   Verdict
-	Wait      time.Duration // see Uncertain
-	MayChange bool          // other values may change the verdict soon
+	Verdict     Verdict
+	Wait        time.Duration // see Uncertain
+	MayChange   bool          // other values may change the verdict soon
+	UnusualSize bool          // no value had this size, while all recent ones had frequent sizes
 }
 
 // History is what was received so far, from all replicas. It is safe for concurrent use. Its zero value has seen no value.
@@ -131,7 +132,9 @@
 // A length that is too small would have made a value of the largest size shorter. A value of a smaller size may be the
 // start of a larger one: that this size was received often says that it exists, and trust that wrong lengths are rare.
 func judgeSize(counts *sizeCounts, trust *trust, size int, content Content) Judgement {
-	withheld := Judgement{Verdict: Uncertain, Wait: ConfirmationWait, MayChange: trust.isLearning()}
+	withheld := Judgement{
+		Verdict: Uncertain, Wait: ConfirmationWait, MayChange: trust.isLearning(), UnusualSize: counts.isUnusual(size),
+	}
 	mayEndInMessage := content == MayEndInMessage && counts.others(size) > 0
 	switch {
 	case mayEndInMessage:
--- a/valuecheck/valuecheck_test.go
+++ b/valuecheck/valuecheck_test.go
@@ -132,3 +132,57 @@
 		t.Errorf("verdict %d long after the last larger value", got)
 	}
 }
+
+// Bytes behind a value that do not start a message may be its rest. They are noise where the value would no longer be text
+// with them, and the value is served then, unless its own size is unusual.
+func TestValueBeforeNoiseIsServed(t *testing.T) {
+	settled := historyOf(received{recentValues + frequentCount, 16})
+	for _, test := range []struct {
+		name     string
+		history  *History
+		value    string
+		follower string
+		want     Decision
+	}{
+		{"noise", nil, "value", "\xff\xff", Serve},
+		{"noise after a character of several bytes", nil, "valu\u00e9", "\x80", Serve},
+		{"the rest of a text", nil, "value", "s", Reject},
+		{"a character of several bytes", nil, "value", "\u00e9", Reject},
+		{"the start of such a character", nil, "value", "\xc3", Reject},
+		{"the rest of such a character", nil, "valu\xc3", "\xa9", Reject},
+		{"noise behind an unusual size", settled, "value", "\xff\xff", Reject},
+	} {
+		withheld := test.history.Withhold([]byte(test.value), NoMessage)
+		if got := withheld.Decide(withheld.Classify([]byte(test.follower))); got != test.want {
+			t.Errorf("%s: decision %d, want %d", test.name, got, test.want)
+		}
+	}
+}
+
+// The end of a connection says nothing about the replies before it. A value is served then unless its size says that it was
+// cut short: no value had it, and all recent ones had frequent sizes.
+func TestValueAtTheEndOfItsConnectionIsServedUnlessItsSizeIsUnusual(t *testing.T) {
+	var various []received
+	for size := range 300 {
+		various = append(various, received{1, 100 + size})
+	}
+	for name, test := range map[string]struct {
+		history *History
+		want    Decision
+	}{
+		"no value before":         {historyOf(), Serve},
+		"few values of one size":  {historyOf(received{recentValues - 1, 40}), Serve},
+		"many values of one size": {historyOf(received{recentValues + frequentCount, 40}), Wait},
+		"various sizes":           {historyOf(various...), Serve},
+		"seen before":             {historyOf(received{1, 16}, received{100, 40}), Serve},
+	} {
+		withheld := test.history.Withhold(valueOf(16), NoMessage)
+		if got := withheld.Decide(FollowerUnknown); got != Wait {
+			t.Errorf("%s: decision %d before the end", name, got)
+		}
+		withheld.EndInput()
+		if got := withheld.Decide(FollowerUnknown); got != test.want {
+			t.Errorf("%s: decision %d at the end, want %d", name, got, test.want)
+		}
+	}
+}
