Soak: judge attempts by what had been answered, and disrupt connections behind replies

An answer that was written in full is read before any end of its connection.

Change: an answer counts if the operating system took all of it and the co-ordinator had not closed the connection when it was written, whatever ends the connection afterwards; slow replies count too. The plan of the scenario of faults is as it was. A deliberate break loses replies at a reset.

--- a/internal/soak/check_attempt.go
+++ b/internal/soak/check_attempt.go
@@ -66,13 +66,13 @@
 	}
 }
 
-// checkSentAgain checks that no attempt begins after the co-ordinator has received an answer of a replica on a connection
-// that stays open: the subquery is over. If the connection is reset while the answer is withheld, the subquery is sent again
-// at once; the replica's side notes the end of a connection up to measurementSlack late.
+// checkSentAgain checks that no attempt begins after a replica has answered: the subquery is over. What ends the
+// connection afterwards makes no difference, as an answer that was written in full is read before any end of its
+// connection.
 func (c *checker) checkSentAgain(attempts []*arrival) {
 	name := c.requests[attempts[0].query].coordinator.name
 	for _, answered := range attempts {
-		if answered.answeredAt == 0 || answered.conn.faults.slowReplies {
+		if !answered.couldBeRead() {
 			continue
 		}
 		for _, later := range attempts {
@@ -80,10 +80,9 @@
 				continue
 			}
 			c.countCheck(RuleSentAgain, name, answered.answeredAt, later.firstByteAt)
-			wasLost := answered.conn.endedAt > 0 && answered.conn.endedAt <= later.firstByteAt+measurementSlack
 			after := later.firstByteAt - answered.answeredAt
 			slack := c.stoppedTime(name, answered.answeredAt, later.firstByteAt) + measurementSlack
-			if !wasLost && after > sentAgainSlack+slack {
+			if after > sentAgainSlack+slack {
 				c.violated(RuleSentAgain, later.query, "%s reached %s %v after %s had answered it",
 					later.subquery, later.replica.uid, after, answered.replica.uid)
 			}
@@ -91,6 +90,16 @@
 	}
 }
 
+// couldBeRead reports whether the attempt was answered while the co-ordinator had not closed the connection. The replica
+// sees a close up to measurementSlack late.
+func (a *arrival) couldBeRead() bool {
+	if a.answeredAt == 0 {
+		return false
+	}
+	closedAt := a.conn.closedByPeerAt
+	return closedAt == 0 || closedAt > a.answeredAt+measurementSlack
+}
+
 // checkAttempts checks the number of attempts of a subquery, and that a non-idempotent subquery runs at most once, and
 // never if its query was rejected.
 func (c *checker) checkAttempts(subquery string, attempts []*arrival) {
--- a/internal/soak/replica_conn.go
+++ b/internal/soak/replica_conn.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -39,8 +41,9 @@
 	replica          *replica
 	replicaStartedAt time.Duration // start of the replica's process that accepted it
 	faults           connFaults
-	writing          sync.Mutex
-	endedAt          time.Duration // 0: it has not ended; guarded by the ledger's mutex
+	writing          sync.Mutex    // guards silent as well
+	silent           bool          // nothing more is written
+	closedByPeerAt   time.Duration // when the co-ordinator's close was seen; 0: it was not; guarded by the ledger's mutex
 }
 
 // accept accepts connections until the listener is closed.
@@ -89,6 +92,7 @@
 	for {
 		c.SetReadDeadline(time.Now().Add(idleTimeout))
 		if first, err := reader.Peek(1); err != nil || len(first) == 0 {
+			c.noteEnd(err)
 			return
 		}
 		delayed := c.waitWhileHanging()
@@ -99,6 +103,7 @@
 		c.SetReadDeadline(time.Time{})
 		frame, err := readFrame(reader)
 		if err != nil {
+			c.noteEnd(err)
 			c.reportMalformed(err)
 			return
 		}
@@ -115,15 +120,22 @@
 	}
 }
 
-// noteAnswered records that an OK was written.
+// noteEnd records an end of the connection that the co-ordinator has caused.
+func (c *replicaConn) noteEnd(err error) {
+	isClose := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+	if isClose {
+		now := c.replica.soak.now()
+		c.replica.soak.ledger.update(func() { c.closedByPeerAt = now })
+	}
+}
+
+// noteAnswered records that an OK was written in full.
 func (c *replicaConn) noteAnswered(attempt *arrival) {
 	now := c.replica.soak.now()
 	c.replica.soak.ledger.update(func() { attempt.answeredAt = now })
 }
 
 func (c *replicaConn) close() {
-	now := c.replica.soak.now()
-	c.replica.soak.ledger.update(func() { c.endedAt = now })
 	c.Close()
 	c.replica.mu.Lock()
 	defer c.replica.mu.Unlock()
@@ -199,8 +211,10 @@
 		value := fmt.Sprintf("v<%s.%s.%d>", replica.uid, attempt.subquery, replica.draw(1000))
 		value = replica.soak.padded(value, attempt.subquery)
 		replica.soak.ledger.addReplyValue(attempt.subquery, value)
-		c.reply(attempt.subquery, "OK", value)
-		c.noteAnswered(attempt)
+		if c.reply(attempt.subquery, "OK", value) {
+			c.noteAnswered(attempt)
+		}
+		c.disruptBehindReply()
 	}
 }
 
@@ -210,22 +224,29 @@
 	slowReplyPause    = time.Millisecond
 )
 
-// reply writes a reply. Replies on one connection are written one at a time.
-func (c *replicaConn) reply(subquery, outcome, value string) {
+// reply writes a reply and reports whether the operating system accepted all of it. Replies on one connection are written
+// one at a time.
+func (c *replicaConn) reply(subquery, outcome, value string) (written bool) {
 	frame := replyFrame(subquery, outcome, value)
 	c.writing.Lock()
 	defer c.writing.Unlock()
+	if c.silent {
+		return false
+	}
 	c.SetWriteDeadline(time.Now().Add(replyWriteTimeout))
 	if !c.faults.slowReplies {
-		c.Write(frame)
-		return
+		_, err := c.Write(frame)
+		return err == nil
 	}
 	for len(frame) > 0 {
 		n := min(len(frame), slowReplyBytes)
-		c.Write(frame[:n])
+		if _, err := c.Write(frame[:n]); err != nil {
+			return false
+		}
 		frame = frame[n:]
 		time.Sleep(slowReplyPause)
 	}
+	return true
 }
 
 // reset closes a connection, with a TCP reset if it is a *net.TCPConn.
--- a/internal/soak/scenario.go
+++ b/internal/soak/scenario.go
@@ -16,8 +16,9 @@
 	ScenarioFaults Scenario = "faults"
 
 	// ScenarioRestarts has in addition planned restarts by the terms of the protocol page: clients use open connections
-	// until SIGKILL, which comes at the earliest time, and other signals come in series before it. Depending on the seed,
-	// deadlines are short, values have one or several sizes, and clients without requests fill some processes.
+	// until SIGKILL, which comes at the earliest time, and other signals come in series before it. Behind some replies
+	// their connection is disrupted. Depending on the seed, deadlines are short, values have one or several sizes, and
+	// clients without requests fill some processes.
 	ScenarioRestarts Scenario = "restarts"
 )
 
@@ -39,6 +40,8 @@
 	valueSizes int  // number of sizes; 0: values are as long as their text
 	crowd      bool // clients without requests fill some processes
 	restarts   bool // planned restarts end with SIGKILL at the earliest time
+	// disruptsBehindReplies: behind some replies the connection is reset, ends in order, or carries bytes of no use.
+	disruptsBehindReplies bool
 }
 
 func newSetting(scenario Scenario, seed uint64) setting {
@@ -51,6 +54,7 @@
 		crowd:      seed%crowdInterval == 0,
 		restarts:   true,
 	}
+	chosen.disruptsBehindReplies = true
 	if seed%2 == 0 {
 		chosen.classes = withShortDeadlines(classes)
 	}
--- a/proofs/soak/breaks.go
+++ b/proofs/soak/breaks.go
@@ -156,6 +156,13 @@
 			New:  "	if replied == nil || !replied.replied {\n",
 		},
 	}},
+	{name: "reply_lost_at_reset", rule: soak.RuleSentAgain, restart: true, patches: []faultbuild.Patch{
+		{
+			File: "replicaconn/reader.go",
+			Old:  "		if input.endCause() != nil {\n",
+			New:  "		if cause := input.endCause(); cause != nil && cause.Error() == \"EOF\" {\n",
+		},
+	}},
 	{name: "open_at_kill", rule: soak.RuleAnswer, restart: true, patches: []faultbuild.Patch{
 		{
 			File: "coordinator/arrival.go",
