Wait for the rest of a reply for as long as replicas may stand still

Queries of the unsafe class failed 0.25 s after a replica had begun its reply, though the effect had run and the rest was on its way.

Cause: a message that did not go on for a connect timeout (250 ms at the sites) counted as malformed.

Change: the connection is given up after 550 ms. After the former time nothing new is sent on it, so that a message without an end holds up no more attempts than before. The limit for a whole message stays at four connect timeouts, and is 1 s at the least.

--- a/cmd/terntray/withheld_test.go
+++ b/cmd/terntray/withheld_test.go
@@ -157,3 +157,18 @@
 		}
 	}
 }
+
+// Guards against a reply that is given up in the middle, because its replica stands still for as long as the brief allows
+// (8.4: 500 ms). The effect of its subquery has run, so its query would fail.
+func TestReplyWithAPauseWithinItIsServed(t *testing.T) {
+	const pause = 500 * time.Millisecond
+	replica := newReplica(t, "s-a", 0, fake.SucceedWithPause(pause))
+	short := strings.Replace(settings, `"connectTimeout":1000000`, `"connectTimeout":250000`, 1)
+	program, _ := startDeployment(t, short, replica)
+	client := program.connect()
+	client.send(query("claim", "q1", 10, 3))
+	client.expect(map[int]string{3: value(replica, 3)})
+	if counters := program.counters(); counters["legs"] != 1 || counters["spoilt"] != 0 {
+		t.Errorf("counters %v", counters)
+	}
+}
--- a/connpool/conn.go
+++ b/connpool/conn.go
@@ -33,7 +33,9 @@
 	establishedAt  time.Duration // valid if wasEstablished
 
 	// Each of these flags excludes the connection from new attempts; it is closed once its last attempt is over.
-	suspect   bool // no input followed an abandoned attempt, later attempts were answered elsewhere, or a write failed
+	// suspect: no input followed an abandoned attempt, later attempts were answered elsewhere, a write failed, or a
+	// message stalled.
+	suspect   bool
 	goingAway bool // the replica accepts nothing new on this connection
 	failed    bool // closed because of malformed input or a ping timeout
 
--- a/connpool/replies.go
+++ b/connpool/replies.go
@@ -107,6 +107,14 @@
 	pool.release(settled, replied)
 }
 
+// MessageStalled notifies the pool that the rest of a message is overdue on a connection. The replica may only stand still,
+// so the attempts there go on; but new ones would wait behind the message.
+func (pool *Pool) MessageStalled(id ConnID) {
+	if conn := pool.conns[id]; conn != nil {
+		conn.suspect = true
+	}
+}
+
 // MalformedReceived notifies the pool of malformed input on a connection. Nothing that follows can be trusted, so the
 // connection is closed.
 func (pool *Pool) MalformedReceived(now time.Duration, id ConnID, cause error) {
--- a/connpool/replies_test.go
+++ b/connpool/replies_test.go
@@ -60,6 +60,24 @@
 	}
 }
 
+// A message stalls in the middle. The replica may only stand still: the attempt on the connection goes on, and the next one
+// uses another connection.
+func TestConnectionWithAStalledMessageGetsNoNewAttempts(t *testing.T) {
+	for _, protocol := range bothProtocols {
+		host := newFakeHostFor(t, protocol, Limits{MaxAttemptsPerConn: 8, MaxConns: 9})
+		waiting, stalled := host.send("q.1", false)
+		host.connUp(stalled)
+		markFullyWritten(waiting)
+		host.pool.MessageStalled(stalled)
+		if _, next := host.send("q.2", false); next == stalled {
+			t.Errorf("%s: the next attempt waits behind the stalled message", protocol)
+		}
+		if ended, _ := host.reply(stalled, waiting); ended != waiting || !host.closed[stalled] {
+			t.Errorf("%s: the attempt has not ended by its reply, or its connection is open", protocol)
+		}
+	}
+}
+
 // A client leaves while a reply is withheld. There is nothing to cancel, and the connection is as good as before.
 func TestAttemptWithAWithheldReplyIsNotCancelled(t *testing.T) {
 	for _, protocol := range bothProtocols {
--- a/replicaconn/driver.go
+++ b/replicaconn/driver.go
@@ -201,6 +201,9 @@
 	for n := range input.Events {
 		driver.handleEvent(id, &input.Events[n], input.At)
 	}
+	if input.Stalled {
+		driver.pool.MessageStalled(id)
+	}
 	if input.Malformed != nil {
 		driver.pool.MalformedReceived(now, id, input.Malformed)
 	}
--- a/replicaconn/reader.go
+++ b/replicaconn/reader.go
@@ -12,10 +12,15 @@
 
 const (
 	// minFragmentTimeout is the minimum time that a replica has to send the next bytes of a message that it has
-	// begun. A longer connect timeout replaces it: that allows for the retransmission of a lost packet, which can
-	// delay a message as well as a connect.
-	minFragmentTimeout = 100 * time.Millisecond
-	// messageTimeoutFactor times the fragment timeout is the limit for a whole message, from its first byte.
+	// begun. Replicas may stand still for up to 500 ms, also in the middle of a message. A longer connect timeout replaces
+	// it: that allows for the retransmission of a lost packet, which can delay a message as well as a connect.
+	minFragmentTimeout = 550 * time.Millisecond
+	// minSuspectTimeout is the minimum time without the next bytes after which nothing new is sent on the connection. A
+	// longer connect timeout replaces it.
+	minSuspectTimeout = 100 * time.Millisecond
+	// minMessageTimeout is the minimum of the limit for a whole message, from its first byte. A longer time of
+	// messageTimeoutFactor connect timeouts replaces it.
+	minMessageTimeout    = time.Second
 	messageTimeoutFactor = 4
 	// judgementInterval is the time between two judgements of a withheld reply while other values may change the verdict.
 	judgementInterval = 5 * time.Millisecond
@@ -33,6 +38,7 @@
 type Input struct {
 	Events    []replicaproto.Event
 	Malformed error         // error in the remaining input; nil if there is none
+	Stalled   bool          // the rest of a message is overdue
 	At        time.Duration // time of the read, since process start
 
 	bytes      int
@@ -46,7 +52,7 @@
 //
 // A replica that stops in the middle of a message, or never ends one, would block all replies behind it, as would
 // garbage that looks like the start of a long message. So the next bytes of a message must arrive within the fragment
-// timeout, and the message must be complete within messageTimeoutFactor times that.
+// timeout, and the message must be complete within the message timeout.
 //
 // withheld.go releases the replies that the session withholds.
 type reader struct {
@@ -58,6 +64,8 @@
 
 	messageDeadline time.Time // by which the current incomplete message must be complete
 	midMessage      bool      // the last message read is incomplete
+	lastBytesAt     time.Time // when input was last read
+	stallReported   bool      // the rest of the message is overdue, and the event loop was notified
 	hasReadDeadline bool
 	rechecked       bool // one more read was made since the read deadline passed
 
@@ -83,6 +91,10 @@
 			if reader.awaitsReady() {
 				return &protocolError{reader.conn.protocol}
 			}
+			if !reader.stallReported {
+				reader.reportStall(input.At)
+				continue
+			}
 			input.Malformed = errMessageStalled
 		}
 		reader.noteReady(input.Events)
@@ -128,6 +140,10 @@
 	conn := reader.conn
 	bytes, err := reader.stream.Read(conn.session.ReadBuffer())
 	input := Input{bytes: bytes, err: err, At: conn.now()}
+	if bytes > 0 {
+		reader.lastBytesAt = time.Now()
+		reader.stallReported = false
+	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	conn.session.Filled(bytes)
@@ -166,7 +182,7 @@
 	isContinued := input.midMessage && reader.midMessage && len(input.Events) == 0
 	reader.midMessage = input.midMessage
 	if !isContinued {
-		reader.messageDeadline = time.Now().Add(messageTimeoutFactor * reader.fragmentTimeout())
+		reader.messageDeadline = time.Now().Add(reader.messageTimeout())
 		return
 	}
 	isLate := input.bytes > 0 && input.Malformed == nil && time.Now().After(reader.messageDeadline)
@@ -175,8 +191,29 @@
 	}
 }
 
-func (reader *reader) fragmentTimeout() time.Duration {
-	return max(minFragmentTimeout, reader.conn.driver.config.Limits.ConnectTimeout)
+func (reader *reader) connectTimeout() time.Duration {
+	return reader.conn.driver.config.Limits.ConnectTimeout
+}
+
+func (reader *reader) messageTimeout() time.Duration {
+	return max(minMessageTimeout, messageTimeoutFactor*reader.connectTimeout())
+}
+
+// fragmentDeadline returns the time by which the next bytes of the current message must arrive: first for the connection
+// not to become suspect, then for the message not to count as malformed.
+func (reader *reader) fragmentDeadline() time.Time {
+	timeout := minSuspectTimeout
+	if reader.stallReported {
+		timeout = minFragmentTimeout
+	}
+	return reader.lastBytesAt.Add(max(timeout, reader.connectTimeout()))
+}
+
+// reportStall notifies the event loop that the rest of a message is overdue, and waits on for it.
+func (reader *reader) reportStall(at time.Duration) {
+	reader.stallReported = true
+	reader.post(Input{Stalled: true, At: at})
+	reader.setReadDeadline()
 }
 
 // timedOut reports whether the read deadline passed while the rest of a message or the replica's readiness was due.
@@ -199,7 +236,7 @@
 func (reader *reader) post(input Input) {
 	conn := reader.conn
 	isSignOfLife := conn.traits.Pings && input.bytes > 0
-	if len(input.Events) > 0 || input.Malformed != nil || isSignOfLife {
+	if len(input.Events) > 0 || input.Malformed != nil || input.Stalled || isSignOfLife {
 		conn.driver.loop.Post(func() { conn.driver.Received(conn.id, input) })
 	}
 }
@@ -211,7 +248,7 @@
 	case reader.awaitsReady():
 		deadline = reader.readyDeadline
 	case reader.midMessage:
-		deadline = time.Now().Add(reader.fragmentTimeout())
+		deadline = reader.fragmentDeadline()
 	}
 	deadline = reader.withheld.earlierOf(deadline)
 	hasDeadline := !deadline.IsZero()
