Evict connections that never sent a request before clients that rest

Cause: the idle time of a connection without a request counted 20 times, so a client that had rested for 1.5 s went before a silent one of 75 ms. What was inferred before is shown by TestRestingClientsKeepTheirConnectionsBesideSilentOnes, which rests for 1.5 s and failed on the code before in its only run, for nearly each client.

Change: connections without a request go first once they had 25 ms for it. While there are new ones the accept waits for that, in place of evicting a client with earlier requests. TestIdleClientsAreEvictedInOrder holds the new order, to the nanosecond of the grace.

--- a/cmd/terntray/clients_test.go
+++ b/cmd/terntray/clients_test.go
@@ -240,6 +240,34 @@
 	}
 }
 
+// Guards against usual clients that lose their connections to a crowd that sends nothing, because they rested for longer than
+// the crowd was there: the process or its clients are slow, or have little to ask.
+func TestRestingClientsKeepTheirConnectionsBesideSilentOnes(t *testing.T) {
+	const (
+		clients = 20
+		rest    = 1500 * time.Millisecond
+		crowd   = 600
+	)
+	replica := newReplica(t, "s-a", 0, succeed)
+	discovery := newDiscovery(t, "127.0.0.1:0", replica)
+	program := start(t, configure(t, discovery.Listener.Addr().String(), 256, settings, replica))
+	receiveValues(program.connect(), replica, enoughValues) // from now on no reply is withheld
+	var usual []*clientConn
+	for n := range clients {
+		usual = append(usual, program.connect())
+		usual[n].send(query("look", fmt.Sprint("a", n), 10, 3))
+		usual[n].expect(map[int]string{3: value(replica, 3)})
+	}
+	time.Sleep(rest)
+	for range crowd {
+		program.connect()
+	}
+	for n, client := range usual {
+		client.send(query("look", fmt.Sprint("b", n), 10, 3))
+		client.expect(map[int]string{3: value(replica, 3)})
+	}
+}
+
 // Clients may use at most a third of the descriptors: idle connections with earlier requests are closed to make room
 // for new ones.
 func TestIdleClientsAreEvictedAfterTheirRequests(t *testing.T) {
--- a/server/eviction.go
+++ b/server/eviction.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// connTable holds the open connections and selects which one to evict when room is needed: the one that has been idle
-// longest, where the idle time of one that has never sent a request counts silentIdleWeight times. A connection with an
-// open request is never selected.
+// connTable holds the open connections and selects which one to evict when room is needed: of those that have never sent a
+// request for silentGrace, the one that has been idle longest, and only without these one that has. A connection with an open
+// request is never selected.
 //
 // Without eviction, many clients that keep idle connections open, having sent one request or none, could use up all
 // slots or descriptors, and requests of other clients would stay unread. Only connections that have sent a request
@@ -73,20 +73,31 @@
 		table.active++
 	}
 	if table.active > table.maxActive {
-		table.evictLongestIdle(server.now(), (*ClientConn).isActive)
+		table.evict(table.longestIdle(server.now(), (*ClientConn).isActive))
 	}
 }
 
-// evictIdle evicts the connection that has been idle longest. It reports whether there was one.
-func (server *Server) evictIdle() bool {
+// evictIdle evicts a connection, and reports whether there was one to evict; see selectIdle.
+func (server *Server) evictIdle(hasWaited bool) bool {
 	server.conns.mu.Lock()
 	defer server.conns.mu.Unlock()
-	return server.conns.evictLongestIdle(server.now(), func(*ClientConn) bool { return true })
+	return server.conns.evict(server.conns.selectIdle(server.now(), hasWaited))
 }
 
-// evictLongestIdle evicts the longest idle of the eligible connections. The table must be locked.
-func (table *connTable) evictLongestIdle(now time.Duration, eligible func(*ClientConn) bool) bool {
-	var selected *ClientConn
+// selectIdle selects a connection to evict, or returns nil if there is none. While some have sent no request but have not been
+// silent for long enough, it selects no client with earlier requests unless the caller has waited for them: many silent
+// connections at once would otherwise close those of usual clients that rest. The table must be locked.
+func (table *connTable) selectIdle(now time.Duration, hasWaited bool) *ClientConn {
+	silent := table.longestIdle(now, func(client *ClientConn) bool { return client.isSilent(now) })
+	if silent != nil || table.hasNew() && !hasWaited {
+		return silent
+	}
+	return table.longestIdle(now, func(*ClientConn) bool { return true })
+}
+
+// longestIdle returns the longest idle of the eligible connections that are not evicted, or nil if there is none. The table
+// must be locked.
+func (table *connTable) longestIdle(now time.Duration, eligible func(*ClientConn) bool) (selected *ClientConn) {
 	longest := time.Duration(-1)
 	for client := range table.conns {
 		idle, isIdle := client.idleFor(now)
@@ -97,6 +108,21 @@
 			selected, longest = client, idle
 		}
 	}
+	return selected
+}
+
+// hasNew reports whether a connection that is not evicted has sent no request yet. The table must be locked.
+func (table *connTable) hasNew() bool {
+	for client := range table.conns {
+		if client.idleSince.Load() > 0 && !client.sentRequest.Load() && !client.evicted.Load() {
+			return true
+		}
+	}
+	return false
+}
+
+// evict evicts a connection, and reports whether there was one. The table must be locked.
+func (table *connTable) evict(selected *ClientConn) bool {
 	if selected == nil {
 		return false
 	}
@@ -112,16 +138,17 @@
 // isActive reports whether the connection has sent a request and is not evicted. The table must be locked.
 func (client *ClientConn) isActive() bool { return client.sentRequest.Load() && !client.evicted.Load() }
 
-// idleFor returns how long the connection has been idle, multiplied by silentIdleWeight if it has never sent a
-// request. isIdle is false while a request is open.
+// isSilent reports whether the connection has been open for silentGrace without a request.
+func (client *ClientConn) isSilent(now time.Duration) bool {
+	idle, isIdle := client.idleFor(now)
+	return isIdle && !client.sentRequest.Load() && idle >= silentGrace
+}
+
+// idleFor returns how long the connection has been idle. isIdle is false while a request is open.
 func (client *ClientConn) idleFor(now time.Duration) (idle time.Duration, isIdle bool) {
 	since := time.Duration(client.idleSince.Load())
 	if since == 0 {
 		return 0, false
 	}
-	idle = max(0, now-since)
-	if !client.sentRequest.Load() {
-		idle *= silentIdleWeight
-	}
-	return idle, true
+	return max(0, now-since), true
 }
--- a/server/limits.go
+++ b/server/limits.go
@@ -46,7 +46,6 @@
 	maxActiveShare       = 0.7      // of those sockets, in use before the longest idle connection is evicted
 	freeSlotDivisor      = 10       // of the slots, kept free by evicting idle clients
 	defaultMaxConns      = 1 << 16  // connections if no limit is configured
-	silentIdleWeight     = 20       // factor on the idle time of a connection that has never sent a request
 	minConns             = 2        // connections allowed even if there are too few sockets
 )
 
@@ -56,6 +55,7 @@
 	bindRetryInterval  = bindTimeout / 20       // between two attempts to bind
 	acceptRetryWait    = 10 * time.Millisecond  // after a failed accept
 	acceptLogInterval  = time.Second            // between two log lines about failed accepts
+	silentGrace        = 25 * time.Millisecond  // for a new connection's first request; clients send it at once
 	slotPatience       = 500 * time.Millisecond // from the arrival of a request, for a slot; then it is shed
 	shedWriteTimeout   = 5 * time.Millisecond   // for the response to a connection that is shed
 	slotRetryInterval  = 5 * time.Millisecond   // between two attempts to free a slot by evicting idle clients
--- a/server/routes_test.go
+++ b/server/routes_test.go
@@ -112,8 +112,9 @@
 	}
 }
 
-// When few slots are left, idle clients are evicted, the longest idle first; the idle time of a client that has never
-// sent a request counts silentIdleWeight times. A client with an open request is never evicted.
+// When few slots are left, idle clients are evicted: those that have never sent a request first, then the longest idle.
+// While a new connection may still send its first request, no client with earlier ones is evicted, unless that was waited
+// for. A client with an open request is never evicted.
 func TestIdleClientsAreEvictedInOrder(t *testing.T) {
 	f := newFixture()
 	now := f.server.now() + time.Hour
@@ -130,18 +131,22 @@
 	open := newClient(0, true, true)
 	longIdle := newClient(2*time.Second, true, false)
 	shortIdle := newClient(time.Second, true, false)
-	silent := newClient(200*time.Millisecond, false, false)
+	silent := newClient(silentGrace, false, false)
+	recent := newClient(silentGrace-1, false, false)
 	f.server.conns.active = 3
-	eligible := func(*ClientConn) bool { return true }
-	for n, want := range []*ClientConn{silent, longIdle, shortIdle} {
-		if !f.server.conns.evictLongestIdle(now, eligible) || !want.evicted.Load() {
+	for n, step := range []struct {
+		hasWaited bool
+		want      *ClientConn
+	}{{false, silent}, {false, nil}, {true, longIdle}, {true, shortIdle}, {true, recent}, {true, nil}, {false, nil}} {
+		selected := f.server.conns.selectIdle(now, step.hasWaited)
+		if evicted := f.server.conns.evict(selected); selected != step.want || evicted != (step.want != nil) {
 			t.Errorf("eviction %d selected another client", n)
 		}
 	}
-	if f.server.conns.evictLongestIdle(now, eligible) || open.evicted.Load() {
+	if open.evicted.Load() {
 		t.Error("a client with an open request was evicted")
 	}
-	if got := f.server.Counts().Evicted; got != 3 || f.server.conns.active != 1 {
+	if got := f.server.Counts().Evicted; got != 4 || f.server.conns.active != 1 {
 		t.Errorf("%d evicted, %d active", got, f.server.conns.active)
 	}
 }
--- a/server/slots.go
+++ b/server/slots.go
@@ -36,8 +36,9 @@
 // response: an accepted connection must not wait for one that has been answered and is idle.
 func (server *Server) acquireSlot(until time.Time) (acquired, waited bool) {
 	defer server.slots.waiting.Store(false)
+	start := time.Now()
 	for {
-		for server.fewSlotsFree() && server.evictIdle() {
+		for server.fewSlotsFree() && server.evictIdle(time.Since(start) >= silentGrace) {
 		}
 		if server.slots.tryAcquire() {
 			return true, waited
