Send nothing new behind a message that has stalled for 100 ms

Queries failed because their subqueries were sent on connections where a message had begun and did not go on: nothing can be answered there before the message ends. The connection became suspect after a connect timeout (250 ms at the sites).

Change: after 100 ms, whatever the connect timeout. Another connection costs less than an answer.

--- a/replicaconn/reader.go
+++ b/replicaconn/reader.go
@@ -15,9 +15,8 @@
 	// begun. Replicas may stand still for up to 500 ms, also in the middle of a message. A longer connect timeout replaces
 	// it: that allows for the retransmission of a lost packet, which can delay a message as well as a connect.
 	minFragmentTimeout = 550 * time.Millisecond
-	// minSuspectTimeout is the minimum time without the next bytes after which nothing new is sent on the connection. A
-	// longer connect timeout replaces it.
-	minSuspectTimeout = 100 * time.Millisecond
+	// suspectTimeout is the time without the next bytes of a message after which nothing new is sent on the connection.
+	suspectTimeout = 100 * time.Millisecond
 	// minMessageTimeout is the minimum of the limit for a whole message, from its first byte. A longer time of
 	// messageTimeoutFactor connect timeouts replaces it.
 	minMessageTimeout    = time.Second
@@ -202,11 +201,10 @@
 // fragmentDeadline returns the time by which the next bytes of the current message must arrive: first for the connection
 // not to become suspect, then for the message not to count as malformed.
 func (reader *reader) fragmentDeadline() time.Time {
-	timeout := minSuspectTimeout
-	if reader.stallReported {
-		timeout = minFragmentTimeout
+	if !reader.stallReported {
+		return reader.lastBytesAt.Add(suspectTimeout)
 	}
-	return reader.lastBytesAt.Add(max(timeout, reader.connectTimeout()))
+	return reader.lastBytesAt.Add(max(minFragmentTimeout, reader.connectTimeout()))
 }
 
 // reportStall notifies the event loop that the rest of a message is overdue, and waits on for it.
