Soak: tell by the bytes which frames arrived while a replica hung

Cause: a frame that was read more than 50 ms after its replica had resumed counted as sent then. On a busy machine frames that had arrived during the hang are read later than that.

Change: at the resume the bytes that have arrived are counted, and the frames among them are not judged; all others are, as before. The same holds 100 ms after an accept that may have come late. Violations of told_time name the connection's accept.

--- a/internal/soak/check_attempt.go
+++ b/internal/soak/check_attempt.go
@@ -25,8 +25,9 @@
 	remaining := request.sentAt + request.deadline - arrival.firstByteAt
 	slack := timeoutSlack + c.stoppedTime(name, request.sentAt, arrival.lastByteAt) + measurementSlack
 	if arrival.timeout > max(0, remaining)+slack {
-		c.violated(RuleTimeout, request.id, "%s was given a timeout of %v with %v left (%s)",
-			arrival.subquery, arrival.timeout, remaining, arrival.replica.uid)
+		c.violated(RuleTimeout, request.id, "%s was given a timeout of %v with %v left (%s at %v, connection accepted at %v, "+
+			"%v after the replica resumed accepting)", arrival.subquery, arrival.timeout, remaining, arrival.replica.uid,
+			arrival.firstByteAt, arrival.conn.acceptedAt, arrival.conn.resumedFor)
 	}
 }
 
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -31,7 +31,7 @@
 
 	mu             sync.Mutex
 	listener       net.Listener
-	conns          map[net.Conn]bool
+	conns          map[*replicaConn]bool
 	startedAt      time.Duration // of its process, on the soak's clock, or longRunning
 	startUnixMS    int64         // the same in Unix milliseconds, for discovery; 0 for longRunning
 	state          endpointState // in discovery
@@ -51,7 +51,7 @@
 		uid:       uid,
 		cell:      cell,
 		coreSlots: make(chan struct{}, replicaCores),
-		conns:     map[net.Conn]bool{},
+		conns:     map[*replicaConn]bool{},
 		startedAt: startedAt,
 		state:     stateReady,
 		random:    soak.randomFor(uid),
@@ -146,19 +146,29 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.hanging && !hanging {
-		r.readingSince = r.soak.now()
+		r.resumeReading()
 	}
 	r.hanging = hanging
 	r.resumed.Broadcast()
 }
 
+// resumeReading notes that the replica reads again: what has arrived on its connections by now, or within resumeWindow, may
+// have been sent much earlier. The caller holds r.mu.
+func (r *replica) resumeReading() {
+	r.readingSince = r.soak.now()
+	for conn := range r.conns {
+		conn.input.markStale()
+		time.AfterFunc(resumeWindow, conn.input.markStale)
+	}
+}
+
 // setAccepting sets whether the replica accepts connections. While it does not, its listen backlog is set to 0, the
 // shortest that the kernel offers.
 func (r *replica) setAccepting(accepting bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.notAccepting && accepting {
-		r.readingSince = r.soak.now()
+		r.resumeReading()
 		r.acceptingSince = r.soak.now()
 	}
 	r.notAccepting = !accepting
@@ -177,7 +187,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for conn := range r.conns {
-		reset(conn)
+		reset(conn.Conn)
 	}
 }
 
--- a/internal/soak/replica_conn.go
+++ b/internal/soak/replica_conn.go
@@ -38,9 +38,12 @@
 // replicaConn is a connection from a co-ordinator.
 type replicaConn struct {
 	net.Conn
+	input            *staleInput // reads from Conn
 	replica          *replica
 	replicaStartedAt time.Duration // start of the replica's process that accepted it
 	faults           connFaults
+	acceptedAt       time.Duration
+	resumedFor       time.Duration // how long the replica accepted connections again at acceptedAt; 0: no interruption
 	writing          sync.Mutex    // guards silent as well
 	silent           bool          // nothing more is written
 	closedByPeerAt   time.Duration // when the co-ordinator's close was seen; 0: it was not; guarded by the ledger's mutex
@@ -65,12 +68,22 @@
 	for r.notAccepting {
 		r.resumed.Wait()
 	}
-	r.conns[conn] = true
 	faults := r.drawConnFaults()
-	if now := r.soak.now(); r.acceptingSince > 0 && now-r.acceptingSince < handshakeRetryTime {
+	now := r.soak.now()
+	input := &staleInput{Conn: conn}
+	accepted := &replicaConn{
+		Conn: conn, input: input, replica: r, replicaStartedAt: r.startedAt, acceptedAt: now,
+	}
+	r.conns[accepted] = true
+	if r.acceptingSince > 0 {
+		accepted.resumedFor = now - r.acceptingSince
+	}
+	if r.acceptingSince > 0 && accepted.resumedFor < handshakeRetryTime {
 		faults.delayedUntil = now + retransmitReadTime
+		time.AfterFunc(retransmitReadTime, input.markStale)
 	}
-	return &replicaConn{Conn: conn, replica: r, replicaStartedAt: r.startedAt, faults: faults}
+	accepted.faults = faults
+	return accepted
 }
 
 // drawConnFaults draws the faults of a connection. The caller holds r.mu.
@@ -88,14 +101,14 @@
 // serve reads frames until the connection ends, is idle for idleTimeout, or a frame is malformed.
 func (c *replicaConn) serve() {
 	defer c.close()
-	reader := bufio.NewReader(&limitedConn{c.Conn, c.faults.resetAfter})
+	reader := bufio.NewReader(&limitedConn{c.input, c.faults.resetAfter})
 	for {
 		c.SetReadDeadline(time.Now().Add(idleTimeout))
 		if first, err := reader.Peek(1); err != nil || len(first) == 0 {
 			c.noteEnd(err)
 			return
 		}
-		delayed := c.waitWhileHanging()
+		delayed := c.waitWhileHanging() || c.input.isStale(reader.Buffered())
 		if delayed {
 			c.replica.soak.delayedFrames.Add(1)
 		}
@@ -139,7 +152,7 @@
 	c.Close()
 	c.replica.mu.Lock()
 	defer c.replica.mu.Unlock()
-	delete(c.replica.conns, c.Conn)
+	delete(c.replica.conns, c)
 }
 
 // waitWhileHanging waits while the replica hangs. It reports whether the next bytes may have been sent much earlier.
@@ -251,6 +264,9 @@
 
 // reset closes a connection, with a TCP reset if it is a *net.TCPConn.
 func reset(conn net.Conn) {
+	if input, ok := conn.(*staleInput); ok {
+		conn = input.Conn
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		tcp.SetLinger(0)
 	}
