End the reading of a connection that cannot be written to, whatever is read meanwhile

Change: the limit belongs to the connection, and each deadline that the reader sets is the earlier of both.

--- a/replicaconn/conn.go
+++ b/replicaconn/conn.go
@@ -32,6 +32,7 @@
 	socket      net.Conn // nil until connected; the TCP connection below TLS
 	closing     bool
 	writerEnded bool
+	readLimit   time.Time // by which reading ends, as nothing more can be written; zero: not limited
 }
 
 func newConn(driver *Driver, id connpool.ConnID, to *Endpoint, addr string, protocol replicaproto.Protocol) *conn {
@@ -145,5 +146,13 @@
 	return !conn.closing
 }
 
+// limitReading makes reading end after a while, whatever the reader sets as its next deadline.
+func (conn *conn) limitReading(stream net.Conn, limit time.Duration) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.readLimit = time.Now().Add(limit)
+	stream.SetReadDeadline(conn.readLimit)
+}
+
 // now returns the time since process start.
 func (conn *conn) now() time.Duration { return conn.driver.loop.Since(time.Now()) }
--- a/replicaconn/reader.go
+++ b/replicaconn/reader.go
@@ -241,12 +241,14 @@
 
 // setReadDeadline sets the deadline of the next read.
 func (reader *reader) setReadDeadline() {
-	var deadline time.Time
+	reader.conn.mu.Lock()
+	defer reader.conn.mu.Unlock()
+	deadline := reader.conn.readLimit
 	switch {
 	case reader.awaitsReady():
-		deadline = reader.readyDeadline
+		deadline = earlier(deadline, reader.readyDeadline)
 	case reader.midMessage:
-		deadline = reader.fragmentDeadline()
+		deadline = earlier(deadline, reader.fragmentDeadline())
 	}
 	deadline = reader.withheld.earlierOf(deadline)
 	hasDeadline := !deadline.IsZero()
@@ -256,3 +258,11 @@
 	reader.hasReadDeadline = hasDeadline
 	reader.rechecked = false
 }
+
+// earlier returns the earlier of two deadlines, of which the first is zero if there is none.
+func earlier(deadline, other time.Time) time.Time {
+	if deadline.IsZero() || other.Before(deadline) {
+		return other
+	}
+	return deadline
+}
--- a/replicaconn/writer.go
+++ b/replicaconn/writer.go
@@ -56,7 +56,7 @@
 			return
 		}
 		if len(output) > 0 && !conn.writeOutput(stream, socket, output) {
-			stream.SetReadDeadline(time.Now().Add(lastReplyTimeout))
+			conn.limitReading(stream, lastReplyTimeout)
 			return
 		}
 	}
