--- a/scheduler/parameters.go
+++ b/scheduler/parameters.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// referenceObjective is the latency objective for which the constant wait times are chosen. If all objectives are
+	// referenceObjective is the latency objective to which the constant wait times apply. If all objectives are
 	// shorter, parameters.timeScale shortens those times in proportion.
 	referenceObjective = 1500 * time.Millisecond
 
@@ -57,7 +57,7 @@
 	// hedgeScale multiplies the hedge tokens that can be earned and saved: 1 if waste costs nothing, less if it does.
 	hedgeScale float64
 
-	// timeScale multiplies the wait times that are chosen for referenceObjective; at most 1.
+	// timeScale multiplies the wait times that apply to referenceObjective; at most 1.
 	timeScale float64
 
 	// fanoutSpread is how much longer the slowest subquery takes, as a multiple of the expected time of one, each time
