Notify replicas of abandoned calls before their connection is closed

Cause: an attempt that is abandoned after a connect timeout without any input makes its connection suspect, and its query's end releases it an iteration later. The pool then closes the connection, and frames had nothing to write before a close: the notice was lost unless the writer had woken up in between. The replica goes on with work that nobody waits for.

Change: a session tells whether it has last messages when its connection is about to be closed. For frames these are the notices; calls that wait are dropped there and can still be withdrawn. The writer writes them with the limit of HTTP/2's GOAWAY and closes the socket, now also if its last write failed, which left a closing HTTP/2 connection open for up to a second.

--- a/cmd/terntray/replicas_test.go
+++ b/cmd/terntray/replicas_test.go
@@ -61,6 +61,22 @@
 	})
 }
 
+// A replica is silent for longer than the connect timeout, so that its connection is closed as soon as the query on it has
+// ended: the replica would not learn that the subquery is abandoned, and work on.
+func TestReplicaIsNotifiedOfAbandonmentBeforeItsConnectionIsClosed(t *testing.T) {
+	const queries = 6
+	replica := newReplica(t, "s-a", 0, silent)
+	program, _ := startDeployment(t, settings, replica)
+	for n := range queries {
+		program.connect().send(query("look", fmt.Sprint("q", n), 1.5, n))
+	}
+	waitFor(t, "the replica is notified of each abandoned subquery", func() bool {
+		replica.Mu.Lock()
+		defer replica.Mu.Unlock()
+		return len(replica.Abandoned) == queries
+	})
+}
+
 // A malformed reply closes its connection and reaches no client; its subquery may have run. The replica stays in use:
 // the next non-idempotent subquery is sent to it at once.
 func TestMalformedRepliesCloseOnlyTheirConnection(t *testing.T) {
--- a/internal/replicaproto/frames/session.go
+++ b/internal/replicaproto/frames/session.go
@@ -18,6 +18,8 @@
 	queue    []queueEntry
 	callEnds []replicaproto.CallEnd // of the calls in the last output, in order
 	sent     sentIDs
+
+	closeAnnounced bool // no call is begun any more
 }
 
 // queueEntry is an entry of the queue: a call, or the notice that a subquery is abandoned.
@@ -36,8 +38,11 @@
 
 var _ replicaproto.Session = (*Session)(nil)
 
-// Queue appends a call to the calls that wait to be written.
+// Queue appends a call to the calls that wait to be written, unless the connection is about to be closed.
 func (session *Session) Queue(call *replicaproto.Call) {
+	if session.closeAnnounced {
+		return
+	}
 	session.queue = append(session.queue, queueEntry{call: call})
 }
 
@@ -59,8 +64,13 @@
 // Ping does nothing: the protocol has no pings.
 func (session *Session) Ping() {}
 
-// AnnounceClose does nothing: the protocol has no message for it.
-func (session *Session) AnnounceClose() {}
+// AnnounceClose drops the calls that wait and leaves the notices of abandoned subqueries to be written.
+func (session *Session) AnnounceClose() (hasLastMessages bool) {
+	session.closeAnnounced = true
+	isCall := func(queued queueEntry) bool { return queued.call != nil }
+	session.queue = slices.DeleteFunc(session.queue, isCall)
+	return len(session.queue) > 0
+}
 
 // Output appends the frames for the queue, up to about maxBytes; 0 means no limit. Calls that remain in the queue can
 // still be withdrawn.
--- a/internal/replicaproto/http2/session.go
+++ b/internal/replicaproto/http2/session.go
@@ -162,12 +162,12 @@
 }
 
 // AnnounceClose queues a GOAWAY; no stream is opened and no body is sent after it.
-func (session *Session) AnnounceClose() {
-	if session.closeAnnounced {
-		return
+func (session *Session) AnnounceClose() (hasLastMessages bool) {
+	if !session.closeAnnounced {
+		session.closeAnnounced = true
+		session.writeControl(func() error { return session.framer.WriteGoAway(0, session.closeCode, nil) })
 	}
-	session.closeAnnounced = true
-	session.writeControl(func() error { return session.framer.WriteGoAway(0, session.closeCode, nil) })
+	return true
 }
 
 // ReadBuffer returns space for the next read.
--- a/internal/replicaproto/protocol.go
+++ b/internal/replicaproto/protocol.go
@@ -26,8 +26,6 @@
 	LimitsStreams bool
 	// AnnouncesReady: calls may be written only after the replica's Ready; otherwise as soon as the connection is up.
 	AnnouncesReady bool
-	// AnnouncesClose: a message to the replica precedes the close of a connection.
-	AnnouncesClose bool
 	// RepliesToInput: received bytes may require an immediate response or unblock pending output.
 	RepliesToInput bool
 }
@@ -41,7 +39,6 @@
 			Pings:               true,
 			LimitsStreams:       true,
 			AnnouncesReady:      true,
-			AnnouncesClose:      true,
 			RepliesToInput:      true,
 		}
 	}
--- a/internal/replicaproto/session.go
+++ b/internal/replicaproto/session.go
@@ -30,9 +30,10 @@
 	Abandon(call *Call)
 	// Ping queues a ping; a PingAnswered event reports the answer. It does nothing in protocols without pings.
 	Ping()
-	// AnnounceClose queues the message that the connection is about to be closed, if the protocol has one. Output
-	// writes that message and nothing after it.
-	AnnounceClose()
+	// AnnounceClose notifies the session that the connection is about to be closed. It reports whether there are last
+	// messages for the replica: the protocol's own, if it has one, and those about abandoned calls. Output writes these
+	// and begins no call any more; calls that wait can still be withdrawn.
+	AnnounceClose() (hasLastMessages bool)
 
 	// Output appends up to about maxBytes of pending output to a buffer. It calls the Permit of each call that it
 	// begins and drops those that are refused. Wrote must be called before the next Output. The time now is relative to
--- a/replicaconn/conn.go
+++ b/replicaconn/conn.go
@@ -13,7 +13,8 @@
 	"terntray/internal/replicaproto"
 )
 
-// closeNotifyTimeout limits the writing of the last message on a connection, where the protocol has one (GOAWAY).
+// closeNotifyTimeout limits the writing of the last messages on a connection: notices of abandoned calls, and the one
+// that the connection is about to be closed, where the protocol has one (GOAWAY).
 const closeNotifyTimeout = 50 * time.Millisecond
 
 // conn is one connection to a replica. It has two goroutines: run, which dials, reads and reports the connection's
@@ -31,6 +32,7 @@
 	session     replicaproto.Session
 	socket      net.Conn // nil until connected; the TCP connection below TLS
 	closing     bool
+	lastWrites  bool // the writer still has last messages to write before it closes the socket; valid if closing
 	writerEnded bool
 	readLimit   time.Time // by which reading ends, as nothing more can be written; zero: not limited
 }
@@ -52,17 +54,19 @@
 	return created
 }
 
-// close closes the connection; run reports its end. Where the protocol has a last message, the writer still writes
-// it, with a short deadline for that and for any write in progress. It is safe for concurrent use.
+// close closes the connection; run reports its end. If there are last messages for the replica, the writer still writes
+// them, with a short deadline for that and for any write in progress. It is safe for concurrent use.
 func (conn *conn) close() {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.closing = true
-	conn.session.AnnounceClose()
+	if !conn.closing {
+		conn.closing = true
+		conn.lastWrites = conn.session.AnnounceClose()
+	}
 	conn.outputReady.Signal()
 	switch {
 	case conn.socket == nil:
-	case conn.traits.AnnouncesClose && !conn.writerEnded:
+	case conn.lastWrites && !conn.writerEnded:
 		conn.socket.SetWriteDeadline(time.Now().Add(closeNotifyTimeout))
 	default:
 		conn.socket.Close()
--- a/replicaconn/writer.go
+++ b/replicaconn/writer.go
@@ -22,7 +22,8 @@
 	lastReplyTimeout = time.Second
 )
 
-// startWriter starts the writer goroutine. The channel is closed when that ends.
+// startWriter starts the writer goroutine. The channel is closed when that ends. If the connection is to be closed by
+// then, the writer closes its socket.
 func (conn *conn) startWriter(stream, socket net.Conn) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
@@ -31,6 +32,9 @@
 		conn.mu.Lock()
 		defer conn.mu.Unlock()
 		conn.writerEnded = true
+		if conn.closing {
+			socket.Close()
+		}
 	}()
 	return done
 }
@@ -52,7 +56,6 @@
 		conn.driver.handler.NotifyRefusedCalls()
 		if last {
 			conn.writeFinal(stream, output)
-			socket.Close()
 			return
 		}
 		if len(output) > 0 && !conn.writeOutput(stream, socket, output) {
@@ -78,10 +81,7 @@
 		}
 		conn.outputReady.Wait()
 	}
-	if conn.traits.AnnouncesClose {
-		buffer = conn.session.Output(buffer, writeSize, conn.now())
-	}
-	return buffer, true
+	return conn.session.Output(buffer, writeSize, conn.now()), true
 }
 
 // awaitLoop waits for the event loop after a stall, without the connection's mutex: what the loop has decided may be
@@ -92,7 +92,7 @@
 	conn.driver.loop.AwaitIteration()
 }
 
-// writeFinal writes the last message on a connection, where the protocol has one.
+// writeFinal writes the last messages on a connection, if there are any.
 func (conn *conn) writeFinal(stream net.Conn, output []byte) {
 	if len(output) > 0 {
 		stream.SetWriteDeadline(time.Now().Add(closeNotifyTimeout))
--- a/replicaconn/writer_test.go
+++ b/replicaconn/writer_test.go
@@ -1,6 +1,8 @@
 package replicaconn
 
 import (
+	"bytes"
+	"io"
 	"testing"
 	"time"
 
@@ -36,3 +38,29 @@
 		t.Errorf("the last waiting call is at stage %v, or cannot be withdrawn", last.Stage)
 	}
 }
+
+// A connection is closed right after an attempt on it was abandoned, before its writer has run: the replica would work
+// on for a query that is over. The notice is written before the close, and no call that still waits is written with it.
+func TestAbandonedCallIsAnnouncedBeforeItsConnectionIsClosed(t *testing.T) {
+	driver := newTestDriver(t, connpool.Limits{ConnectTimeout: time.Second})
+	near, far := tcpPair(t)
+	conn := newConn(driver, 1, driver.EndpointOf("s-a"), "127.0.0.1:1", replicaproto.Frames)
+	conn.setSocket(near)
+	abandoned := &replicaproto.Call{Attempt: 1, SubqueryID: wire.SubqueryID("q", 0), Deadline: time.Hour}
+	waiting := &replicaproto.Call{Attempt: 2, SubqueryID: wire.SubqueryID("q", 1), Deadline: time.Hour}
+	conn.session.Queue(abandoned)
+	conn.session.Wrote(len(conn.session.Output(nil, 0, 0)))
+	conn.session.Queue(waiting)
+	conn.session.Abandon(abandoned)
+	conn.close()
+	conn.session.Queue(&replicaproto.Call{Attempt: 3, SubqueryID: wire.SubqueryID("q", 2), Deadline: time.Hour})
+	<-conn.startWriter(near, near)
+	far.SetReadDeadline(time.Now().Add(5 * time.Second))
+	got, err := io.ReadAll(far)
+	if want := wire.AppendAbandon(nil, abandoned.SubqueryID); err != nil || !bytes.Equal(got, want) {
+		t.Errorf("the replica read %q, error %v; want %q and the end", got, err, want)
+	}
+	if !conn.session.Withdraw(waiting) {
+		t.Error("the call that was not written cannot be sent elsewhere")
+	}
+}
