Return all whole HTTP/2 replies at the end of a connection

A reply that was read could still be lost at the end of its connection: one that is buffered behind a withheld reply.

Cause: a frame of an unknown type behind a withheld reply does not confirm it, so what comes behind that frame stays unread until the end of input releases the reply. The replies that are read then were withheld again, for bytes that cannot come.

Change: the session remembers that its input has ended, and judges each later reply so. Over frames nothing can be left behind a withheld reply but the first bytes of a header.

--- a/internal/replicaproto/http2/frames_in.go
+++ b/internal/replicaproto/http2/frames_in.go
@@ -27,6 +27,7 @@
 	headers    headerList           // the header list that is being received
 	events     []replicaproto.Event // that Next has not returned yet
 	withheld   *withheldReply       // it follows these events once its length is confirmed
+	inputEnded bool                 // no more input will follow what is buffered
 	lastValue  *valuecheck.Withheld // of the last confirmed reply, until another frame follows it
 	idleFrames int                  // consecutive frames without progress
 }
--- a/internal/replicaproto/http2/withheld.go
+++ b/internal/replicaproto/http2/withheld.go
@@ -23,6 +23,9 @@
 // withhold withholds a reply until confirmReply emits it.
 func (session *Session) withhold(reply replicaproto.Event) {
 	value := session.values.Withhold(reply.Value, session.findFrames(reply.Value))
+	if session.inputEnded {
+		value.EndInput()
+	}
 	session.withheld = &withheldReply{event: reply, value: value}
 }
 
@@ -87,8 +90,9 @@
 	}
 }
 
-// EndInput lets Next return the withheld reply, as no more input will follow.
+// EndInput lets Next return the withheld reply and those that are still buffered behind it, as no more input will follow.
 func (session *Session) EndInput() {
+	session.inputEnded = true
 	if session.withheld != nil {
 		session.withheld.value.EndInput()
 	}
--- a/internal/replicaproto/http2/withheld_test.go
+++ b/internal/replicaproto/http2/withheld_test.go
@@ -47,6 +47,27 @@
 	}
 }
 
+// Guards against a reply that is lost at the end of its connection because another one before it was withheld until then:
+// a frame of an unknown type between them does not show that the first one is whole.
+func TestAllWholeRepliesAreReturnedAtTheEndOfInput(t *testing.T) {
+	const unknownType = 0x0c
+	replica := newFakeReplica(t)
+	replica.expectEvents("ready")
+	replica.queueCall(3, 4)
+	replica.queueCall(4, 4)
+	replica.sentFrames()
+	replica.respond(1, "first")
+	replica.framer.WriteRawFrame(unknownType, 0, 0, []byte("extension"))
+	replica.respond(3, "second")
+	replica.read()
+	replica.session.EndInput()
+	replica.collectEvents()
+	if len(replica.events) != 2 {
+		t.Errorf("%d replies at the end of input, want 2", len(replica.events))
+	}
+	replica.expectEvents("reply 1 0 first", "reply 2 0 second")
+}
+
 // One ping at a time is enough, whatever replies are withheld: its answer follows all of them.
 func TestOnePingConfirmsSeveralReplies(t *testing.T) {
 	replica := newFakeReplica(t)
@@ -58,6 +79,7 @@
 	replica.read()
 	replica.respond(3, "second")
 	replica.read()
+	t.Logf("%+v err %v", replica.events, replica.err)
 	pings := slices.DeleteFunc(replica.sentFrames(), func(frame string) bool { return frame != "ping" })
 	if len(pings) != 1 {
 		t.Errorf("%d pings", len(pings))
