Share the pairs of connections and the panicking connection of tests

Four packages had a function of their own that returns both ends of a loopback connection, and two a connection whose Read panics.

Change: package conntest has both, for tests alone.

--- a/coordinator/arrival_test.go
+++ b/coordinator/arrival_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"terntray/internal/conntest"
 	"terntray/internal/netconn"
 )
 
@@ -49,7 +50,7 @@
 func TestQueuedQueryOfDisconnectedClientIsNotSent(t *testing.T) {
 	for _, waited := range []time.Duration{0, time.Second} {
 		c := newWithUnreachableReplica(t)
-		serverEnd, clientEnd := connPair(t)
+		serverEnd, clientEnd := conntest.Pair(t)
 		from := c.server.NewConn(serverEnd)
 		clientEnd.Close()
 		if waited > 0 {
--- a/coordinator/clients_test.go
+++ b/coordinator/clients_test.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"terntray/internal/conntest"
 )
 
 // fakeClient is a client that stores its response. A second response would block.
@@ -24,27 +25,12 @@
 }
 func (client *fakeClient) CloseAfterResponse() { client.closes = true }
 
-// panickingConn is a connection whose reads panic once now is closed.
-type panickingConn struct {
-	net.Conn
-	armed chan struct{}
-}
-
-func (conn *panickingConn) Read(buffer []byte) (int, error) {
-	select {
-	case <-conn.armed:
-		panic("injected")
-	default:
-	}
-	return conn.Conn.Read(buffer)
-}
-
 // The goroutine of a client connection panics while a query is open. The query must be closed as if the client had
 // disconnected.
 func TestPanicInClientConnectionClosesItsQuery(t *testing.T) {
 	c := newWithUnreachableReplica(t)
-	serverEnd, clientEnd := connPair(t)
-	conn := &panickingConn{serverEnd, make(chan struct{})}
+	serverEnd, clientEnd := conntest.Pair(t)
+	conn := &conntest.PanickingConn{Conn: serverEnd, Armed: make(chan struct{})}
 	connection := c.server.NewConn(conn)
 	served := make(chan struct{})
 	go func() {
@@ -56,7 +42,7 @@
 	if c.queriesByRequestID["q"] == nil {
 		t.Fatal("the query was not accepted")
 	}
-	close(conn.armed)
+	close(conn.Armed)
 	serverEnd.SetReadDeadline(time.Unix(1, 0)) // makes the connection call Read again
 	<-served
 	if c.runPosted(); len(c.queries) > 0 || c.counts.Disconnected != 1 {
--- a/coordinator/helpers_test.go
+++ b/coordinator/helpers_test.go
@@ -111,29 +111,6 @@
 	c.runIteration(func() { c.queryArrives(from, query, c.loop.Now()-waited) })
 }
 
-// connPair returns both ends of a TCP connection over loopback.
-func connPair(t *testing.T) (serverEnd, clientEnd *net.TCPConn) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	dialed, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		dialed.Close()
-		accepted.Close()
-	})
-	dialed.SetDeadline(time.Now().Add(20 * time.Second))
-	return accepted.(*net.TCPConn), dialed.(*net.TCPConn)
-}
-
 // awaitState waits until netconn.Peek returns a state for a connection.
 func awaitState(t *testing.T, conn net.Conn, state netconn.State) {
 	t.Helper()
--- a/internal/netconn/peek_test.go
+++ b/internal/netconn/peek_test.go
@@ -8,12 +8,14 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"terntray/internal/conntest"
 )
 
 // Peeking at a connection fails. Only errors that end the connection mean that the peer has closed it; a local
 // shortage does not.
 func TestPeekDoesNotTreatShortageAsEnd(t *testing.T) {
-	near, _ := tcpPair(t)
+	near, _ := conntest.Pair(t)
 	original := peekFunc
 	defer func() { peekFunc = original }()
 	for errno, want := range map[syscall.Errno]State{
@@ -29,7 +31,7 @@
 
 // A peer sends data and closes. The close is detected although nobody has read the data.
 func TestHangUpIsDetectedBehindUnreadBytes(t *testing.T) {
-	near, far := tcpPair(t)
+	near, far := conntest.Pair(t)
 	if HasHungUp(near) {
 		t.Error("an open connection is reported as hung up")
 	}
@@ -46,29 +48,6 @@
 	}
 }
 
-// tcpPair returns the two ends of a connection on loopback.
-func tcpPair(t *testing.T) (near, far *net.TCPConn) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	dialed, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		dialed.Close()
-		accepted.Close()
-	})
-	dialed.SetDeadline(time.Now().Add(20 * time.Second))
-	return accepted.(*net.TCPConn), dialed.(*net.TCPConn)
-}
-
 // waitFor waits until Peek returns a state.
 func waitFor(t *testing.T, conn net.Conn, want State) {
 	for end := time.Now().Add(20 * time.Second); Peek(conn) != want; time.Sleep(time.Millisecond) {
@@ -81,7 +60,7 @@
 // A reset must reach the connection's reader even if HasInput was asked before: a reader that saw an orderly end
 // instead would take an incomplete message for a complete one.
 func TestHasInputLeavesAResetToTheReader(t *testing.T) {
-	near, far := tcpPair(t)
+	near, far := conntest.Pair(t)
 	if HasInput(near) {
 		t.Error("a silent connection has input")
 	}
@@ -99,7 +78,7 @@
 
 // AwaitInput must neither read anything nor wait longer than the read deadline.
 func TestAwaitInputReadsNothing(t *testing.T) {
-	near, far := tcpPair(t)
+	near, far := conntest.Pair(t)
 	near.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
 	if err := AwaitInput(near); !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("without input: %v", err)
--- a/replicaconn/driver_test.go
+++ b/replicaconn/driver_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"log"
-	"net"
 	"testing"
 	"time"
 
@@ -42,26 +41,3 @@
 	t.Cleanup(driver.Stop)
 	return driver
 }
-
-// tcpPair returns the two ends of a TCP connection.
-func tcpPair(t *testing.T) (near, far *net.TCPConn) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	dialed, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		dialed.Close()
-		accepted.Close()
-	})
-	return dialed.(*net.TCPConn), accepted.(*net.TCPConn)
-}
--- a/replicaconn/reader_test.go
+++ b/replicaconn/reader_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"terntray/connpool"
+	"terntray/internal/conntest"
 	"terntray/internal/replicaproto"
 )
 
@@ -16,7 +17,7 @@
 		frame = "\x00\x00\x00\x11Yq.1 OK 7 -\nvalue"
 	)
 	driver := newTestDriver(t, connpool.Limits{ConnectTimeout: time.Second})
-	near, far := tcpPair(t)
+	near, far := conntest.Pair(t)
 	conn := newConn(driver, 1, &Endpoint{}, "", replicaproto.Frames)
 	conn.setSocket(near)
 	reader := &reader{conn: conn, stream: near}
--- a/replicaconn/writer_test.go
+++ b/replicaconn/writer_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"terntray/connpool"
+	"terntray/internal/conntest"
 	"terntray/internal/replicaproto"
 	"terntray/internal/wire"
 )
@@ -15,7 +16,7 @@
 // is longer, and calls whose writing has not begun can be withdrawn. The bound of 5 s leaves room for a busy machine.
 func TestStalledWriteTimesOut(t *testing.T) {
 	driver := newTestDriver(t, connpool.Limits{ConnectTimeout: 10 * time.Second})
-	near, far := tcpPair(t)
+	near, far := conntest.Pair(t)
 	near.SetWriteBuffer(4 << 10)
 	far.SetReadBuffer(4 << 10)
 	conn := newConn(driver, 1, driver.EndpointOf("s-a"), "127.0.0.1:1", replicaproto.Frames)
@@ -43,7 +44,7 @@
 // on for a query that is over. The notice is written before the close, and no call that still waits is written with it.
 func TestAbandonedCallIsAnnouncedBeforeItsConnectionIsClosed(t *testing.T) {
 	driver := newTestDriver(t, connpool.Limits{ConnectTimeout: time.Second})
-	near, far := tcpPair(t)
+	near, far := conntest.Pair(t)
 	conn := newConn(driver, 1, driver.EndpointOf("s-a"), "127.0.0.1:1", replicaproto.Frames)
 	conn.setSocket(near)
 	abandoned := &replicaproto.Call{Attempt: 1, SubqueryID: wire.SubqueryID("q", 0), Deadline: time.Hour}
--- a/server/connection_test.go
+++ b/server/connection_test.go
@@ -7,36 +7,22 @@
 	"testing"
 	"time"
 
+	"terntray/internal/conntest"
 	"terntray/internal/netconn"
 	"terntray/internal/wire"
 )
 
-// panickingConn is a connection whose Read panics once armed is closed.
-type panickingConn struct {
-	net.Conn
-	armed chan struct{}
-}
-
-func (conn *panickingConn) Read(buffer []byte) (int, error) {
-	select {
-	case <-conn.armed:
-		panic("panic in Read")
-	default:
-	}
-	return conn.Conn.Read(buffer)
-}
-
 // The goroutine of a connection panics while a query is open. Only this connection ends: the handler is notified of a
 // disconnect and the slot is released.
 func TestConnPanicCountsAsClientDisconnect(t *testing.T) {
 	f := newFixture()
-	serverEnd, clientEnd := connPair(t)
-	conn := &panickingConn{serverEnd, make(chan struct{})}
+	serverEnd, clientEnd := conntest.Pair(t)
+	conn := &conntest.PanickingConn{Conn: serverEnd, Armed: make(chan struct{})}
 	client := f.newConn(conn)
 	go f.serve(client)
 	io.WriteString(clientEnd, queryRequest("q"))
 	f.runOne()
-	close(conn.armed)
+	close(conn.Armed)
 	client.wake()
 	f.runOne()
 	if count, err := clientEnd.Read(make([]byte, 1)); err == nil {
@@ -65,7 +51,7 @@
 	} {
 		for _, reset := range []bool{false, true} {
 			f := newFixture()
-			serverEnd, clientEnd := connPair(t)
+			serverEnd, clientEnd := conntest.Pair(t)
 			io.WriteString(clientEnd, text) // the part that fits in the socket buffers
 			if reset {
 				clientEnd.SetLinger(0)
@@ -86,7 +72,7 @@
 	for _, ahead := range []int{largeRequestBytes + 2000, maxReadAhead + 5000, 600_000} {
 		f := newFixture()
 		f.server.requestMemory.tryReserve(largeReservation) // takes all
-		serverEnd, clientEnd := connPair(t)
+		serverEnd, clientEnd := conntest.Pair(t)
 		client := f.newConn(serverEnd)
 		served := make(chan struct{})
 		go func() {
@@ -147,7 +133,7 @@
 		for attempt := 0; ; attempt++ {
 			f := newFixture()
 			f.handler.ready.Store(true)
-			serverEnd, clientEnd := connPair(t)
+			serverEnd, clientEnd := conntest.Pair(t)
 			client := f.server.NewConn(serverEnd)
 			client.evicted.Store(true)
 			inTime := arrivals[name](client, clientEnd)
--- a/server/memory_test.go
+++ b/server/memory_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"terntray/internal/conntest"
 )
 
 // Guards against clients that use up the process's memory by stopping half way through large requests: what is buffered
@@ -22,7 +24,7 @@
 		var ends []net.Conn
 		done := make(chan struct{}, clients)
 		for range clients {
-			serverEnd, clientEnd := connPair(t)
+			serverEnd, clientEnd := conntest.Pair(t)
 			client := f.newConn(serverEnd)
 			ends = append(ends, clientEnd)
 			go func() {
@@ -56,7 +58,7 @@
 // Guards against the buffers of large requests that were answered being held while their connections linger.
 func TestLingeringConnectionHoldsNoBuffer(t *testing.T) {
 	f := newFixture()
-	serverEnd, clientEnd := connPair(t)
+	serverEnd, clientEnd := conntest.Pair(t)
 	client := f.server.NewConn(serverEnd)
 	client.requests.Feed(make([]byte, largeRequestBytes))
 	if !client.reserve() {
--- a/server/response_test.go
+++ b/server/response_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"terntray/internal/conntest"
 	"terntray/internal/netconn"
 	"terntray/internal/wire"
 )
@@ -35,7 +36,7 @@
 func TestLastResponseIsNotCutOffByLateWakeup(t *testing.T) {
 	for attempt := 0; ; attempt++ {
 		f := newFixture()
-		serverEnd, clientEnd := connPair(t)
+		serverEnd, clientEnd := conntest.Pair(t)
 		client := f.server.NewConn(serverEnd)
 		started, ended := time.Now(), make(chan struct{})
 		go func() {
--- a/server/routes_test.go
+++ b/server/routes_test.go
@@ -7,13 +7,15 @@
 	"strings"
 	"testing"
 	"time"
+
+	"terntray/internal/conntest"
 )
 
 // exchange sends a request on a new connection and returns the response. staysOpen reports whether the response
 // keeps the connection open; if so, exchange checks that it serves another request.
 func (f fixture) exchange(t *testing.T, request string) (status int, body string, staysOpen bool) {
 	t.Helper()
-	serverEnd, clientEnd := connPair(t)
+	serverEnd, clientEnd := conntest.Pair(t)
 	client := f.newConn(serverEnd)
 	go f.serve(client)
 	io.WriteString(clientEnd, request)
@@ -119,7 +121,7 @@
 	f := newFixture()
 	now := f.server.now() + time.Hour
 	newClient := func(idle time.Duration, sentRequest, requestOpen bool) *ClientConn {
-		serverEnd, _ := connPair(t)
+		serverEnd, _ := conntest.Pair(t)
 		client := f.newConn(serverEnd)
 		client.sentRequest.Store(sentRequest)
 		client.idleSince.Store(int64(now - idle))
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -111,26 +111,6 @@
 	return fmt.Sprintf(head, id, len(body), body)
 }
 
-// connPair returns the two ends of a loopback connection.
-func connPair(t *testing.T) (serverEnd, clientEnd *net.TCPConn) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	conn, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	other, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { conn.Close(); other.Close() })
-	conn.SetDeadline(time.Now().Add(20 * time.Second))
-	return other.(*net.TCPConn), conn.(*net.TCPConn)
-}
-
 // awaitState waits until a connection is in a state.
 func awaitState(t *testing.T, conn net.Conn, state netconn.State) {
 	t.Helper()
--- a/server/shutdown_test.go
+++ b/server/shutdown_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"terntray/internal/conntest"
 	"terntray/internal/wire"
 )
 
@@ -22,7 +23,7 @@
 // request is still served, and its response closes the connection.
 func TestRequestAfterResponseBuiltBeforeShutdownIsServed(t *testing.T) {
 	f := newFixture()
-	serverEnd, clientEnd := connPair(t)
+	serverEnd, clientEnd := conntest.Pair(t)
 	client := f.server.NewConn(serverEnd)
 	io.WriteString(clientEnd, queryRequest("q"))
 	go client.Serve()
@@ -49,7 +50,7 @@
 // killed.
 func TestPartialRequestDeadlineDuringShutdown(t *testing.T) {
 	f := newFixture()
-	serverEnd, _ := connPair(t)
+	serverEnd, _ := conntest.Pair(t)
 	client := f.server.NewConn(serverEnd)
 	f.shutDown(time.Now().Add(-shutdownAcceptTime))
 	if left := time.Until(client.readDeadline()); left > lateRequestTime {
