Soak: check that answered queries do not fail, also where nothing is sent again

Cause: sent_again sees a lost reply only by the attempt that follows. In the unsafe class none follows: the query fails though its effect has run and its reply was read, and no check saw that.

Programs that panic on purpose are left out, as a panic fails the open queries. The break that loses replies at a reset has to be caught by either check.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -40,6 +40,9 @@
 		checker.checkAttempts(subquery, attempts)
 		checker.checkSentAgain(attempts)
 	}
+	for _, request := range s.ledger.requests {
+		checker.checkReplyLost(request)
+	}
 	checker.countKills()
 	checker.checkSlowStart()
 	checker.checkRetryBudget()
--- a/internal/soak/check_answer.go
+++ b/internal/soak/check_answer.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"terntray/valuecheck"
 )
 
 const (
@@ -66,6 +68,50 @@
 	}
 }
 
+// checkReplyLost checks that a query does not fail if all of its subqueries were answered, and long enough before for each
+// reply to be confirmed. A co-ordinator that loses a reply shows by that where it must not send the subquery again.
+func (c *checker) checkReplyLost(request *request) {
+	if request.disconnectedAt > 0 || c.options.ExpectPanics {
+		return
+	}
+	answeredAt, all := c.lastSubqueryAnswered(request)
+	if !all {
+		return
+	}
+	name := request.coordinator.name
+	for _, answer := range request.answers {
+		c.countCheck(RuleReplyLost, name, answeredAt, answer.receivedAt)
+		slack := socketSlack + c.stoppedTime(name, answeredAt, answer.receivedAt) + measurementSlack
+		after := answer.receivedAt - answeredAt
+		if answer.outcome() == countFailed && after > valuecheck.ConfirmationWait+slack {
+			c.violated(RuleReplyLost, request.id, "failed at %s %v after all %d subqueries were answered",
+				name, after, len(request.shards))
+		}
+	}
+}
+
+// lastSubqueryAnswered returns when the last subquery of a request had its first answer, and whether all had one.
+func (c *checker) lastSubqueryAnswered(request *request) (last time.Duration, all bool) {
+	for _, shard := range request.shards {
+		first, answered := firstAnswer(c.subqueries[subqueryID(request.id, shard)])
+		if !answered {
+			return 0, false
+		}
+		last = max(last, first)
+	}
+	return last, true
+}
+
+// firstAnswer returns when the first of a subquery's attempts was answered, and whether any was.
+func firstAnswer(attempts []*arrival) (first time.Duration, answered bool) {
+	for _, attempt := range attempts {
+		if attempt.couldBeRead() && (!answered || attempt.answeredAt < first) {
+			first, answered = attempt.answeredAt, true
+		}
+	}
+	return first, answered
+}
+
 // outcome returns the key in Result.Counts under which an answer is counted.
 func (a answer) outcome() string {
 	switch a.status {
--- a/internal/soak/result.go
+++ b/internal/soak/result.go
@@ -20,6 +20,7 @@
 	RuleNonIdempotent    Rule = "effect"       // a non-idempotent subquery runs at most once, and never if rejected
 	RuleMultipleAttempts Rule = "repeat"
 	RuleSentAgain        Rule = "sent_again"  // a subquery is not sent again once a replica has answered it
+	RuleReplyLost        Rule = "reply_lost"  // a query does not fail if replicas answered all of its subqueries in time
 	RuleAttempts         Rule = "attempts"    // a subquery has at most maxAttempts attempts
 	RuleSlowStart        Rule = "slow_start"  // a replica that is warming up is not overloaded
 	RuleRetryBudget      Rule = "budget"      // attempts beyond the first stay within the retry budget
--- a/proofs/soak/breaks.go
+++ b/proofs/soak/breaks.go
@@ -21,6 +21,15 @@
 	},
 }
 
+// replyLostAtReset makes connections lose a withheld reply at any end but the orderly one.
+var replyLostAtReset = []faultbuild.Patch{
+	{
+		File: "replicaconn/reader.go",
+		Old:  "		if input.endCause() != nil {\n",
+		New:  "		if cause := input.endCause(); cause != nil && cause.Error() == \"EOF\" {\n",
+	},
+}
+
 // deliberateBreak is a change to the program that violates a rule. The checker (internal/soak/check*.go) must report a
 // violation of that rule.
 type deliberateBreak struct {
@@ -156,13 +165,8 @@
 			New:  "	if replied == nil || !replied.replied {\n",
 		},
 	}},
-	{name: "reply_lost_at_reset", rule: soak.RuleSentAgain, restart: true, patches: []faultbuild.Patch{
-		{
-			File: "replicaconn/reader.go",
-			Old:  "		if input.endCause() != nil {\n",
-			New:  "		if cause := input.endCause(); cause != nil && cause.Error() == \"EOF\" {\n",
-		},
-	}},
+	{name: "reply_lost_at_reset", rule: soak.RuleSentAgain, restart: true, patches: replyLostAtReset},
+	{name: "reply_lost_and_failed", rule: soak.RuleReplyLost, restart: true, patches: replyLostAtReset},
 	{name: "open_at_kill", rule: soak.RuleAnswer, restart: true, patches: []faultbuild.Patch{
 		{
 			File: "coordinator/arrival.go",
