Soak: do not judge first frames after a late handshake by the time of reading

Cause: the soak's own. s-1 accepted no connections for a while, and the kernel dropped the last ACK of the handshake. The process's log has the attempt at 0.709 s of the process, 1.66 s before s-1 read it: the client retransmits with backoff, and 1.66 s are 7 times 0.237 s, as 1.4 and 1.7 s are 7 times 0.2 and 0.243 s. A retransmission of the SYN-ACK had the connection accepted 0.64 s before that. Only what came within 0.1 s of the accept was excused. The time stated in a frame is reckoned when it is written, and a write ends after 60 ms, so that the co-ordinator wrote it in time.

Change: on a connection that is accepted within 3 s of a resume, the first bytes are not judged if they come within 3 s of the accept, nor what comes within 0.1 s behind them. Frames behind them and connections accepted later are judged as before.

--- a/internal/soak/replica_conn.go
+++ b/internal/soak/replica_conn.go
@@ -15,11 +15,12 @@
 
 // While a replica accepts no connections and its backlog is full, the kernel drops the final ACK of handshakes. The
 // client side considers the connection established, writes, and retransmits with exponential backoff until a segment
-// gets through. Therefore, for connections accepted within handshakeRetryTime after the replica resumed accepting, the
-// arrival time of bytes does not show when they were written.
+// gets through. That may be long after the accept, which a retransmission of the server side's SYN-ACK can bring about.
+// Therefore, for connections accepted within handshakeRetryTime after the replica resumed accepting, the arrival time of
+// the first bytes does not show when they were written, for as long.
 const (
 	handshakeRetryTime = 3 * time.Second
-	retransmitReadTime = 100 * time.Millisecond // for these bytes to be read after the accept
+	retransmitReadTime = 100 * time.Millisecond // for these bytes to be read after the first of them
 )
 
 // maxResetAfter is the maximum number of received bytes after which a connection is reset.
@@ -32,7 +33,7 @@
 type connFaults struct {
 	resetAfter   int           // received bytes after which it is reset, or neverReset
 	slowReplies  bool          // replies are written a few bytes at a time
-	delayedUntil time.Duration // bytes read before then may have been written much earlier; see handshakeRetryTime
+	retransmits  bool          // its first bytes may have been written much earlier; see handshakeRetryTime
 }
 
 // replicaConn is a connection from a co-ordinator.
@@ -44,6 +45,7 @@
 	faults           connFaults
 	acceptedAt       time.Duration
 	resumedFor       time.Duration // how long the replica accepted connections again at acceptedAt; 0: no interruption
+	delayedUntil     time.Duration // bytes read before then may have been written much earlier
 	writing          sync.Mutex    // guards silent as well
 	silent           bool          // nothing more is written
 	closedByPeerAt   time.Duration // when the co-ordinator's close was seen; 0: it was not; guarded by the ledger's mutex
@@ -78,10 +80,7 @@
 	if r.acceptingSince > 0 {
 		accepted.resumedFor = now - r.acceptingSince
 	}
-	if r.acceptingSince > 0 && accepted.resumedFor < handshakeRetryTime {
-		faults.delayedUntil = now + retransmitReadTime
-		time.AfterFunc(retransmitReadTime, input.markStale)
-	}
+	faults.retransmits = r.acceptingSince > 0 && accepted.resumedFor < handshakeRetryTime
 	accepted.faults = faults
 	return accepted
 }
@@ -108,6 +107,7 @@
 			c.noteEnd(err)
 			return
 		}
+		c.noteFirstBytes()
 		delayed := c.waitWhileHanging() || c.input.isStale(reader.Buffered())
 		if delayed {
 			c.replica.soak.delayedFrames.Add(1)
@@ -133,6 +133,17 @@
 	}
 }
 
+// noteFirstBytes is called when bytes have arrived. If they are the first ones and may be retransmitted, those that arrive
+// with them count as delayed.
+func (c *replicaConn) noteFirstBytes() {
+	now := c.replica.soak.now()
+	if c.faults.retransmits && now < c.acceptedAt+handshakeRetryTime {
+		c.delayedUntil = now + retransmitReadTime
+		time.AfterFunc(retransmitReadTime, c.input.markStale)
+	}
+	c.faults.retransmits = false
+}
+
 // noteEnd records an end of the connection that the co-ordinator has caused.
 func (c *replicaConn) noteEnd(err error) {
 	isClose := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
@@ -157,7 +168,7 @@
 
 // waitWhileHanging waits while the replica hangs. It reports whether the next bytes may have been sent much earlier.
 func (c *replicaConn) waitWhileHanging() (delayed bool) {
-	return c.replica.waitWhileHanging() || c.replica.soak.now() < c.faults.delayedUntil
+	return c.replica.waitWhileHanging() || c.replica.soak.now() < c.delayedUntil
 }
 
 // reportMalformed records a malformed frame as a violation. It ignores all other errors, such as the end of the
