--- a/internal/soak/replica_conn.go
+++ b/internal/soak/replica_conn.go
@@ -31,9 +31,9 @@
 
 // connFaults are the simulated network faults of a connection.
 type connFaults struct {
-	resetAfter   int           // received bytes after which it is reset, or neverReset
-	slowReplies  bool          // replies are written a few bytes at a time
-	retransmits  bool          // its first bytes may have been written much earlier; see handshakeRetryTime
+	resetAfter  int  // received bytes after which it is reset, or neverReset
+	slowReplies bool // replies are written a few bytes at a time
+	retransmits bool // its first bytes may have been written much earlier; see handshakeRetryTime
 }
 
 // replicaConn is a connection from a co-ordinator.
